--- /dev/null
+++ b/crates/agent/src/cli.rs
@@ -0,0 +1,12 @@
+use bpaf::Bpaf;
+
+/// Agent beside a backend server: queues tasks and runs them on it
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Args {
+    /// settings file, JSON
+    #[bpaf(short, long, argument("FILE"))]
+    pub settings: String,
+    /// check the settings file and exit
+    pub check_settings: bool,
+}
--- /dev/null
+++ b/crates/base/src/event.rs
@@ -0,0 +1,59 @@
+use std::fmt;
+
+use log::Level;
+
+macro_rules! events {
+    ($($name:ident = $code:literal $level:ident $text:literal)*) => {
+        /// A numbered log event; docs/EVENTS.md is its catalogue.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $text] $name = $code,)*
+        }
+
+        impl Event {
+            pub const ALL: &[Event] = &[$(Event::$name,)*];
+
+            pub fn level(self) -> Level {
+                match self {
+                    $(Event::$name => Level::$level,)*
+                }
+            }
+
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Event::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 100 Info "program started"
+    Stopping = 101 Info "graceful shutdown begins"
+    Stopped = 102 Info "program stopped"
+    InvariantBroken = 110 Error "invariant broken"
+    PlatformDown = 200 Warn "platform can't be reached"
+    PlatformBack = 201 Info "platform answers again"
+    FleetChanged = 210 Info "fleet configuration in force"
+    FleetRefused = 211 Error "fleet configuration can't be read"
+    AgentSeen = 300 Info "agent seen for the first time"
+    AgentGone = 301 Warn "agent no longer heard"
+    AgentNotReady = 302 Info "agent takes no new work"
+    PeerRefused = 310 Warn "peer refused: wrong token or protocol"
+    LinkLost = 311 Warn "link to a peer lost"
+    BackendSeen = 400 Info "backend server announced itself"
+    BackendGone = 401 Warn "backend server stopped renewing"
+    BackendLeft = 402 Info "backend server left"
+}
+
+impl Event {
+    pub fn code(self) -> u16 {
+        self as u16
+    }
+
+    /// Writes the event to the log with its details.
+    pub fn log(self, details: fmt::Arguments<'_>) {
+        log::log!(self.level(), "E{:04} {}: {}", self.code(), self.text(), details);
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,22 @@
+//! What every egretshelf crate shares: tasks and their identity, the four
+//! outcomes, numbered log events, invariants and the fleet token.
+
+mod event;
+mod id;
+mod invariant;
+mod logging;
+mod member;
+mod outcome;
+mod task;
+mod time;
+mod token;
+
+pub use event::Event;
+pub use id::{MAX_KEY_BYTES, Name, TaskId};
+pub use invariant::{broken, broken_count, set_fatal};
+pub use logging::start_logging;
+pub use member::Member;
+pub use outcome::{Answer, Outcome};
+pub use task::{Digest, Task};
+pub use time::{clock_micros, now_ms};
+pub use token::Token;
--- /dev/null
+++ b/crates/base/src/token.rs
@@ -0,0 +1,34 @@
+use std::fmt;
+
+use serde::Deserialize;
+use subtle::ConstantTimeEq;
+
+/// Secret that every process of the fleet shares; never printed.
+#[derive(Clone, Default, Deserialize)]
+#[serde(transparent)]
+pub struct Token(String);
+
+impl Token {
+    pub fn new(secret: &str) -> Self {
+        Self(secret.to_owned())
+    }
+
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+
+    /// Compares in constant time.
+    pub fn matches(&self, other: &[u8]) -> bool {
+        self.as_bytes().ct_eq(other).into()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn: how fast the error budget of each service is spent.
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,26 @@
+//! Settings of each program, read from JSON at start and checked whole, and
+//! the fleet configuration that operators change through the platform's table.
+
+mod fleet;
+mod settings;
+
+pub use fleet::{Exception, Fleet, Service, Values};
+pub use settings::{AgentSettings, Check, EntrySettings, Fault, load};
+
+/// What can go wrong with settings.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("can't read settings file {path}: {why}")]
+    Read { path: String, why: String },
+    #[error("settings file {path}: {why}")]
+    Parse { path: String, why: String },
+    #[error("settings file {path} has {} fault(s):\n{}", faults.len(), list(faults))]
+    Faults { path: String, faults: Vec<Fault> },
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
+
+fn list(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(|f| format!("  {}: {}", f.field, f.why)).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/conf/src/settings.rs
@@ -0,0 +1,178 @@
+use std::{fs, net::SocketAddr};
+
+use base::{Name, Token};
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::{Error, Result};
+
+/// One thing wrong with one field of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub field: String,
+    pub why: String,
+}
+
+/// Settings that can tell everything that is wrong with them.
+pub trait Check {
+    fn faults(&self) -> Vec<Fault>;
+}
+
+/// Settings of `egret-entry`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntrySettings {
+    pub name: Name,
+    /// data centre this entry stands in
+    pub centre: Name,
+    /// where callers come in over HTTP
+    pub http: SocketAddr,
+    /// where agents come in over RPC
+    pub rpc: SocketAddr,
+    /// URL of the platform
+    pub platform: String,
+    pub token: Token,
+    /// threads that serve callers
+    pub threads: usize,
+    /// largest body of a request, bytes
+    pub body_bytes: usize,
+    /// how often the fleet configuration is read, milliseconds
+    pub poll_ms: u64,
+    /// an agent unheard for this long gets no new work, milliseconds
+    pub silence_ms: u64,
+    /// time for the balancer to see this entry unready, milliseconds
+    pub unready_ms: u64,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            name: "entry".into(),
+            centre: "".into(),
+            http: SocketAddr::from(([127, 0, 0, 1], 7100)),
+            rpc: SocketAddr::from(([127, 0, 0, 1], 7200)),
+            platform: "http://127.0.0.1:7000".to_owned(),
+            token: Token::default(),
+            threads: 2,
+            body_bytes: 1 << 20,
+            poll_ms: 1000,
+            silence_ms: 2000,
+            unready_ms: 500,
+        }
+    }
+}
+
+impl Check for EntrySettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = common(&self.name, &self.platform, &self.token);
+        at_least("threads", self.threads as u64, 1, &mut faults);
+        at_least("body_bytes", self.body_bytes as u64, 1024, &mut faults);
+        at_least("poll_ms", self.poll_ms, 50, &mut faults);
+        at_least("silence_ms", self.silence_ms, 200, &mut faults);
+        faults
+    }
+}
+
+/// Settings of `egret-agent`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AgentSettings {
+    pub name: Name,
+    /// service its backend server serves
+    pub service: Name,
+    pub centre: Name,
+    pub rack: Name,
+    /// where its backend server announces itself
+    pub http: SocketAddr,
+    /// where entries and other agents come in
+    pub rpc: SocketAddr,
+    /// rpc addresses of entries to greet first
+    pub entries: Vec<SocketAddr>,
+    /// URL of the platform
+    pub platform: String,
+    pub token: Token,
+    /// tasks its backend server runs at once
+    pub slots: u32,
+    /// connections it may open to its backend server
+    pub connections: u32,
+    /// how often entries are greeted, milliseconds
+    pub beat_ms: u64,
+    /// a backend server that has not renewed for this long is gone, milliseconds
+    pub renew_ms: u64,
+}
+
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self {
+            name: "agent".into(),
+            service: "".into(),
+            centre: "".into(),
+            rack: "".into(),
+            http: SocketAddr::from(([127, 0, 0, 1], 7300)),
+            rpc: SocketAddr::from(([127, 0, 0, 1], 7400)),
+            entries: Vec::new(),
+            platform: "http://127.0.0.1:7000".to_owned(),
+            token: Token::default(),
+            slots: 8,
+            connections: 64,
+            beat_ms: 500,
+            renew_ms: 3000,
+        }
+    }
+}
+
+impl Check for AgentSettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = common(&self.name, &self.platform, &self.token);
+        if self.service.is_empty() {
+            faults.push(fault("service", "is missing: name the service of the backend server"));
+        }
+        if self.entries.is_empty() {
+            faults.push(fault("entries", "is empty: name at least one entry's rpc address"));
+        }
+        at_least("slots", self.slots.into(), 1, &mut faults);
+        at_least("connections", self.connections.into(), self.slots.into(), &mut faults);
+        at_least("beat_ms", self.beat_ms, 50, &mut faults);
+        at_least("renew_ms", self.renew_ms, 200, &mut faults);
+        faults
+    }
+}
+
+/// Reads a settings file and checks it whole.
+///
+/// # Errors
+/// When the file can't be read or parsed, or with all its faults at once.
+pub fn load<S: DeserializeOwned + Check>(path: &str) -> Result<S> {
+    let text = fs::read_to_string(path)
+        .map_err(|e| Error::Read { path: path.to_owned(), why: e.to_string() })?;
+    let settings: S = serde_json::from_str(&text)
+        .map_err(|e| Error::Parse { path: path.to_owned(), why: e.to_string() })?;
+    let faults = settings.faults();
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    Err(Error::Faults { path: path.to_owned(), faults })
+}
+
+fn common(name: &str, platform: &str, token: &Token) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if name.is_empty() {
+        faults.push(fault("name", "is empty"));
+    }
+    if !platform.starts_with("http://") {
+        faults.push(fault("platform", "must be a URL that starts with http://"));
+    }
+    if token.is_empty() {
+        faults.push(fault("token", "is missing: every process of the fleet shares one"));
+    }
+    faults
+}
+
+fn at_least(field: &str, value: u64, least: u64, faults: &mut Vec<Fault>) {
+    if value < least {
+        faults.push(fault(field, &format!("is {value}, must be at least {least}")));
+    }
+}
+
+fn fault(field: &str, why: &str) -> Fault {
+    Fault { field: field.to_owned(), why: why.to_owned() }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    ctl::run()
+}
--- /dev/null
+++ b/crates/ctl/src/queries/mod.rs
@@ -0,0 +1,5 @@
+//! What only reads.
+
+mod services;
+
+pub use services::services;
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,92 @@
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use base::Event;
+use conf::EntrySettings;
+use log::LevelFilter;
+use plat::HttpPlatform;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+use wire::Door;
+
+use crate::{
+    Error, Result, cli,
+    fleet::{Agents, Current, Watcher},
+    http,
+    rpc::EntryRpc,
+};
+
+/// What the threads of an entry share.
+#[derive(Clone)]
+pub struct Shared {
+    pub settings: Arc<EntrySettings>,
+    pub agents: Arc<Agents>,
+    pub fleet: Arc<Current>,
+    /// false from the start of a graceful shutdown
+    pub ready: Arc<AtomicBool>,
+}
+
+/// Runs an entry until it is told to stop.
+pub fn run() -> eyre::Result<()> {
+    let args = cli::args().run();
+    let settings: EntrySettings = conf::load(&args.settings)?;
+    if args.check_settings {
+        println!("{}: no faults", args.settings);
+        return Ok(());
+    }
+    base::start_logging(&settings.name, LevelFilter::Info)?;
+    actix::System::new().block_on(serve(settings))?;
+    Ok(())
+}
+
+async fn serve(settings: EntrySettings) -> Result<()> {
+    let silence = Duration::from_millis(settings.silence_ms);
+    let shared = Shared {
+        agents: Arc::new(Agents::new(silence)),
+        fleet: Arc::default(),
+        ready: Arc::new(AtomicBool::new(true)),
+        settings: Arc::new(settings),
+    };
+    let address = shared.settings.rpc;
+    let listener =
+        TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })?;
+    let door = Door::for_entry(
+        shared.settings.token.clone(),
+        capnp_rpc::new_client(EntryRpc::new(shared.clone())),
+    );
+    actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
+    let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
+    let poll = Duration::from_millis(shared.settings.poll_ms);
+    actix::spawn(Watcher::new(platform, shared.fleet.clone(), poll).run());
+    let server = http::start(&shared)?;
+    Event::Started.log(format_args!("{}", shared.settings.name));
+
+    stop_signal().await;
+    Event::Stopping.log(format_args!("{}", shared.settings.name));
+    shared.ready.store(false, Ordering::Release);
+    sleep(Duration::from_millis(shared.settings.unready_ms)).await;
+    server.stop(true).await;
+    Event::Stopped.log(format_args!("{}", shared.settings.name));
+    Ok(())
+}
+
+async fn stop_signal() {
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet/mod.rs
@@ -0,0 +1,10 @@
+//! What an entry knows: the agents that greet it, and the fleet configuration
+//! in force.
+
+mod agents;
+mod current;
+mod watcher;
+
+pub use agents::Agents;
+pub use current::Current;
+pub use watcher::Watcher;
--- /dev/null
+++ b/crates/entry/src/http/job.rs
@@ -0,0 +1,88 @@
+use std::time::Duration;
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    web::{Bytes, Data, Path},
+};
+use base::{Answer, Name, Outcome, invariant};
+use futures::future::try_join_all;
+use serde::Deserialize;
+
+use super::{
+    answer::{AnswerBody, Content, respond},
+    error::{Error, MAX_TASKS, Result},
+    submit::{Asked, TaskBody, Terms, parse},
+};
+use crate::{app::Shared, call::Dispatcher};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobBody {
+    team: Name,
+    key: Option<Name>,
+    issued_ms: Option<u64>,
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    repeatable: bool,
+    tasks: Vec<TaskBody>,
+}
+
+/// Takes a job of many tasks and answers it whole.
+pub async fn submit(
+    shared: Data<Shared>,
+    dispatcher: Data<Dispatcher>,
+    service: Path<String>,
+    http: HttpRequest,
+    body: Bytes,
+) -> Result<HttpResponse> {
+    let job: JobBody = parse(&body)?;
+    let count = job.tasks.len();
+    if count == 0 || count > MAX_TASKS {
+        return Err(Error::TaskCount(count));
+    }
+    let asked = Asked {
+        team: job.team,
+        key: job.key,
+        issued_ms: job.issued_ms,
+        deadline_ms: job.deadline_ms,
+        repeatable: job.repeatable,
+    };
+    let terms = Terms::check(&shared, &http, &service, asked)?;
+    let runs = (0..).zip(job.tasks).map(|(i, task)| dispatcher.run(terms.task(i, task)));
+    let answers = try_join_all(runs).await?;
+    invariant!(answers.len() == count, "{} answers to {count} tasks", answers.len());
+    let whole = sum_up(&answers);
+    let mut body = AnswerBody::new(&terms.key, &whole);
+    if whole.outcome == Outcome::Done {
+        body.answers = Some(answers.iter().map(|a| Content::new(&a.body)).collect());
+    }
+    Ok(respond(&whole, &body))
+}
+
+/// The one answer to a job: done when every task is, never partial.
+fn sum_up(answers: &[Answer]) -> Answer {
+    let count = |outcome| answers.iter().filter(|a| a.outcome == outcome).count();
+    let total = answers.len();
+    let failed = count(Outcome::Failed);
+    let not_run = count(Outcome::NotRun);
+    if count(Outcome::Done) == total {
+        return Answer::done(Bytes::new(), Duration::ZERO, "".into());
+    }
+    if failed > 0 {
+        let reason =
+            format!("{failed} of {total} tasks failed: {}", first(answers, Outcome::Failed));
+        return Answer::failed(&reason, Bytes::new(), Duration::ZERO, "".into());
+    }
+    if not_run == total {
+        let after = answers.iter().map(|a| a.retry_after).max().unwrap_or_default();
+        return Answer::not_run(first(answers, Outcome::NotRun), after);
+    }
+    let unclear = total - count(Outcome::Done);
+    Answer::unknown(&format!(
+        "{unclear} of {total} tasks have no answer yet: send the same key again"
+    ))
+}
+
+fn first(answers: &[Answer], outcome: Outcome) -> &str {
+    answers.iter().find(|a| a.outcome == outcome).map_or("", |a| &a.reason)
+}
--- /dev/null
+++ b/crates/entry/src/http/request.rs
@@ -0,0 +1,51 @@
+use actix_web::{
+    HttpRequest, HttpResponse,
+    web::{Bytes, Data, Path},
+};
+use base::Name;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use super::{
+    answer::{AnswerBody, respond},
+    error::Result,
+    submit::{Asked, TaskBody, Terms, default_operation, parse},
+};
+use crate::{app::Shared, call::Dispatcher};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RequestBody {
+    team: Name,
+    key: Option<Name>,
+    issued_ms: Option<u64>,
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    repeatable: bool,
+    #[serde(default = "default_operation")]
+    operation: Name,
+    size_ms: Option<u64>,
+    body: Box<RawValue>,
+}
+
+/// Takes one request and answers it.
+pub async fn submit(
+    shared: Data<Shared>,
+    dispatcher: Data<Dispatcher>,
+    service: Path<String>,
+    http: HttpRequest,
+    body: Bytes,
+) -> Result<HttpResponse> {
+    let req: RequestBody = parse(&body)?;
+    let asked = Asked {
+        team: req.team,
+        key: req.key,
+        issued_ms: req.issued_ms,
+        deadline_ms: req.deadline_ms,
+        repeatable: req.repeatable,
+    };
+    let terms = Terms::check(&shared, &http, &service, asked)?;
+    let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
+    let answer = dispatcher.run(terms.task(0, task)).await?;
+    Ok(respond(&answer, &AnswerBody::new(&terms.key, &answer)))
+}
--- /dev/null
+++ b/crates/entry/src/http/server.rs
@@ -0,0 +1,38 @@
+use actix_web::{
+    App, HttpServer,
+    dev::ServerHandle,
+    web::{Data, PayloadConfig, get, post},
+};
+
+use super::{health, job, request};
+use crate::{Error, Result, app::Shared, call::Dispatcher};
+
+const SHUTDOWN_SECONDS: u64 = 120;
+
+/// Starts to serve callers.
+pub fn start(shared: &Shared) -> Result<ServerHandle> {
+    let address = shared.settings.http;
+    let threads = shared.settings.threads;
+    let shared = shared.clone();
+    let server = HttpServer::new(move || {
+        let dispatcher = Dispatcher::new(shared.agents.clone(), shared.settings.token.clone());
+        App::new()
+            .app_data(PayloadConfig::new(shared.settings.body_bytes))
+            .app_data(Data::new(shared.clone()))
+            .app_data(Data::new(dispatcher))
+            .route("/v1/{service}/request", post().to(request::submit))
+            .route("/v1/{service}/job", post().to(job::submit))
+            .route("/healthz", get().to(health::healthz))
+            .route("/readyz", get().to(health::readyz))
+    });
+    let server = server
+        .workers(threads)
+        .disable_signals()
+        .shutdown_timeout(SHUTDOWN_SECONDS)
+        .bind(address)
+        .map_err(|why| Error::Listen { address, why })?
+        .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/crates/entry/src/http/submit.rs
@@ -0,0 +1,137 @@
+use std::time::{Duration, Instant};
+
+use actix_web::{HttpRequest, web::Bytes};
+use base::{Digest, MAX_KEY_BYTES, Name, Task, TaskId};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
+use uuid::Uuid;
+
+use super::error::{Error, Result, bad_field};
+use crate::app::Shared;
+
+const DEADLINE: Duration = Duration::from_secs(30);
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+const KEY_HEADER: &str = "idempotency-key";
+
+/// What a request and a job have in common.
+pub struct Terms {
+    pub service: Name,
+    pub team: Name,
+    pub key: Name,
+    pub keyed: bool,
+    pub issued: Option<u64>,
+    pub deadline: Instant,
+    pub repeatable: bool,
+}
+
+/// The same as the caller writes it.
+pub struct Asked {
+    pub team: Name,
+    pub key: Option<Name>,
+    pub issued_ms: Option<u64>,
+    pub deadline_ms: Option<u64>,
+    pub repeatable: bool,
+}
+
+/// One task as the caller writes it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskBody {
+    #[serde(default = "default_operation")]
+    pub operation: Name,
+    pub size_ms: Option<u64>,
+    pub body: Box<RawValue>,
+}
+
+impl Terms {
+    /// Checks what the caller asks against the fleet configuration.
+    pub fn check(shared: &Shared, http: &HttpRequest, service: &str, asked: Asked) -> Result<Self> {
+        let snapshot = shared.fleet.get();
+        let Some((service, known)) = snapshot.fleet.services.get_key_value(service) else {
+            return Err(Error::UnknownService(service.to_owned()));
+        };
+        if !known.teams.contains(&asked.team) {
+            return Err(Error::UnknownTeam(asked.team.to_string()));
+        }
+        let given = given_key(http, asked.key)?;
+        let default_ms = snapshot.fleet.defaults.deadline_ms;
+        let deadline = check_deadline(asked.deadline_ms.or(default_ms))?;
+        let keyed = given.is_some();
+        let key = given.unwrap_or_else(|| Uuid::now_v7().to_string().into());
+        let issued = asked.issued_ms.or_else(|| issue_time(&key));
+        Ok(Self {
+            service: service.clone(),
+            team: asked.team,
+            key,
+            keyed,
+            issued,
+            deadline: Instant::now() + deadline,
+            repeatable: asked.repeatable,
+        })
+    }
+
+    /// The task at a place of the submission.
+    pub fn task(&self, index: u32, task: TaskBody) -> Task {
+        let body = Bytes::from(Box::<str>::from(task.body).into_string());
+        Task {
+            id: TaskId::new(self.team.clone(), self.key.clone(), index),
+            service: self.service.clone(),
+            digest: Digest::new(&task.operation, &body),
+            operation: task.operation,
+            issued: self.issued,
+            deadline: self.deadline,
+            keyed: self.keyed,
+            repeatable: self.repeatable,
+            declared: task.size_ms.map(Duration::from_millis),
+            offer: 0,
+            body,
+        }
+    }
+}
+
+/// Reads a JSON body.
+pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
+    Ok(serde_json::from_slice(body)?)
+}
+
+fn given_key(http: &HttpRequest, in_body: Option<Name>) -> Result<Option<Name>> {
+    let header = match http.headers().get(KEY_HEADER).map(|v| v.to_str()) {
+        None => None,
+        Some(Ok(key)) => Some(Name::from(key)),
+        Some(Err(_)) => return bad_field("Idempotency-Key", "must be plain ASCII"),
+    };
+    if let (Some(a), Some(b)) = (&header, &in_body)
+        && a != b
+    {
+        return bad_field("key", "differs from the Idempotency-Key header");
+    }
+    let key = header.or(in_body);
+    match &key {
+        Some(key) if key.is_empty() => bad_field("key", "is empty: leave it out or fill it"),
+        Some(key) if key.len() > MAX_KEY_BYTES => bad_field("key", "is longer than 128 bytes"),
+        _ => Ok(key),
+    }
+}
+
+fn check_deadline(asked: Option<u64>) -> Result<Duration> {
+    let deadline = asked.map_or(DEADLINE, Duration::from_millis);
+    if deadline.is_zero() {
+        return Err(Error::DeadlinePassed);
+    }
+    if deadline > MAX_DEADLINE {
+        return bad_field("deadline_ms", "is more than 600000, ten minutes");
+    }
+    Ok(deadline)
+}
+
+/// Unix milliseconds at which a UUIDv7 key was made.
+fn issue_time(key: &str) -> Option<u64> {
+    let uuid = Uuid::parse_str(key).ok()?;
+    let time = uuid.get_timestamp().filter(|_| uuid.get_version_num() == 7)?;
+    let (seconds, nanos) = time.to_unix();
+    Some(seconds * 1000 + u64::from(nanos) / 1_000_000)
+}
+
+pub fn default_operation() -> Name {
+    "default".into()
+}
--- /dev/null
+++ b/crates/plat/src/http.rs
@@ -0,0 +1,108 @@
+use std::time::Duration;
+
+use awc::{Client, ClientResponse, http::StatusCode};
+use futures::{FutureExt, future::LocalBoxFuture};
+
+use crate::{Error, Objects, Result, Row, Table, Version};
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ROW_BYTES: usize = 4 << 20;
+
+/// The platform over its HTTP protocol.
+pub struct HttpPlatform {
+    client: Client,
+    url: String,
+}
+
+impl HttpPlatform {
+    pub fn new(url: &str) -> Self {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        Self { client, url: url.trim_end_matches('/').to_owned() }
+    }
+
+    async fn read_row(&self, key: &str) -> Result<Row> {
+        let url = format!("{}/tables/egret/{key}", self.url);
+        let mut res = self.client.get(url).send().await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::OK => row_of(&mut res).await,
+            StatusCode::NOT_FOUND => Ok(Row::default()),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+
+    async fn write_row(&self, key: &str, expected: Version, value: String) -> Result<Version> {
+        let url = format!("{}/tables/egret/{key}", self.url);
+        let req = self.client.put(url).insert_header(("if-match", expected.to_string()));
+        let mut res = req.send_body(value).await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::OK => Ok(row_of(&mut res).await?.version),
+            StatusCode::CONFLICT => Err(Error::Conflict(row_of(&mut res).await?)),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+
+    async fn read_object(&self, name: &str) -> Result<Option<String>> {
+        let url = format!("{}/objects/{name}", self.url);
+        let mut res = self.client.get(url).send().await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::OK => Ok(Some(text_of(&mut res).await?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+
+    async fn write_object(&self, name: &str, value: String) -> Result<()> {
+        let url = format!("{}/objects/{name}", self.url);
+        let res = self.client.put(url).send_body(value).await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::OK => Ok(()),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+}
+
+impl Table for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Row>> {
+        self.read_row(key).boxed_local()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Version,
+        value: String,
+    ) -> LocalBoxFuture<'a, Result<Version>> {
+        self.write_row(key, expected, value).boxed_local()
+    }
+}
+
+impl Objects for HttpPlatform {
+    fn load<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<Option<String>>> {
+        self.read_object(name).boxed_local()
+    }
+
+    fn store<'a>(&'a self, name: &'a str, value: String) -> LocalBoxFuture<'a, Result<()>> {
+        self.write_object(name, value).boxed_local()
+    }
+}
+
+fn unavailable(error: awc::error::SendRequestError) -> Error {
+    Error::Unavailable(error.to_string())
+}
+
+async fn row_of<S>(res: &mut ClientResponse<S>) -> Result<Row>
+where
+    S: futures::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let text = text_of(res).await?;
+    serde_json::from_str(&text).map_err(|e| Error::Malformed(e.to_string()))
+}
+
+async fn text_of<S>(res: &mut ClientResponse<S>) -> Result<String>
+where
+    S: futures::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let body = res.body().limit(MAX_ROW_BYTES).await;
+    let body = body.map_err(|e| Error::Unavailable(e.to_string()))?;
+    String::from_utf8(body.to_vec()).map_err(|e| Error::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/plat/src/lib.rs
@@ -0,0 +1,58 @@
+//! Client of the platform: a transactional table of versioned rows and an
+//! object store. Both have outages, and the reply to a write may be lost
+//! after the write took effect, so callers settle an unclear write by reading
+//! the row again.
+
+mod http;
+
+use futures::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
+
+pub use http::HttpPlatform;
+
+/// What can go wrong between this process and the platform.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Error {
+    /// nothing was written
+    #[error("row changed meanwhile: it is at version {}", .0.version)]
+    Conflict(Row),
+    /// a read failed, or a write may or may not have taken effect
+    #[error("platform can't be reached: {0}")]
+    Unavailable(String),
+    #[error("platform's answer can't be read: {0}")]
+    Malformed(String),
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Version of a row; 0 for one that isn't there.
+pub type Version = u64;
+
+/// One row of the table.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub version: Version,
+    pub value: String,
+}
+
+/// Versioned rows changed by compare-and-set.
+pub trait Table {
+    /// Reads a row; version 0 when there is none.
+    fn get<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Row>>;
+
+    /// Writes a row if it still is at `expected`, and gives its new version.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Version,
+        value: String,
+    ) -> LocalBoxFuture<'a, Result<Version>>;
+}
+
+/// Whole objects under a name; the last write wins.
+pub trait Objects {
+    /// Reads an object; `None` when there is none.
+    fn load<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<Option<String>>>;
+
+    fn store<'a>(&'a self, name: &'a str, value: String) -> LocalBoxFuture<'a, Result<()>>;
+}
--- /dev/null
+++ b/crates/proof/src/fleet.rs
@@ -0,0 +1,196 @@
+use std::{collections::BTreeMap, fs, path::PathBuf, time::Duration};
+
+use awc::Client;
+use serde_json::{Value, json};
+use standin::backend::Start;
+use tokio::time::sleep;
+
+use crate::process::{Process, free_port};
+
+const TOKEN: &str = "proof";
+const WAIT_STEP: Duration = Duration::from_millis(50);
+const WAIT_STEPS: u32 = 200;
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The platform, entries, agents and their backend servers, all on loopback.
+pub struct Deployment {
+    pub platform: Process,
+    pub entries: Vec<Process>,
+    pub agents: Vec<Process>,
+    pub backends: Vec<Process>,
+    pub platform_port: u16,
+    pub entry_ports: Vec<u16>,
+    pub entry_rpc_ports: Vec<u16>,
+    pub agent_ports: Vec<u16>,
+    pub agent_rpc_ports: Vec<u16>,
+    pub backend_ports: Vec<u16>,
+    folder: PathBuf,
+}
+
+/// What came back for one request.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Sent {
+    pub fn outcome(&self) -> &str {
+        self.body["outcome"].as_str().unwrap_or("none")
+    }
+}
+
+impl Deployment {
+    /// Starts everything, and waits until the agents are known to the entries.
+    pub async fn start(entries: usize, agents: usize) -> Self {
+        let ports = |n| (0..n).map(|_| free_port()).collect::<Vec<_>>();
+        let platform_port = free_port();
+        let listen = vec!["--listen".to_owned(), format!("127.0.0.1:{platform_port}")];
+        let folder = std::env::temp_dir().join(format!("egret-proof-{platform_port}"));
+        fs::create_dir_all(&folder).expect("folder can be made");
+        let mut it = Self {
+            platform: Process::start("standin-platform", &listen),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            backends: Vec::new(),
+            platform_port,
+            entry_ports: ports(entries),
+            entry_rpc_ports: ports(entries),
+            agent_ports: ports(agents),
+            agent_rpc_ports: ports(agents),
+            backend_ports: ports(agents),
+            folder,
+        };
+        it.wait_for(&format!("http://127.0.0.1:{platform_port}/admin/stats")).await;
+        it.write_fleet().await;
+        for i in 0..entries {
+            let entry = it.start_entry(i);
+            it.entries.push(entry);
+        }
+        for i in 0..agents {
+            let agent = it.start_agent(i);
+            it.agents.push(agent);
+            let backend = it.start_backend(i, 1.0);
+            it.backends.push(backend);
+        }
+        it.wait_ready().await;
+        it
+    }
+
+    pub fn start_entry(&self, i: usize) -> Process {
+        let settings = json!({
+            "name": format!("entry-{i}"),
+            "http": format!("127.0.0.1:{}", self.entry_ports[i]),
+            "rpc": format!("127.0.0.1:{}", self.entry_rpc_ports[i]),
+            "platform": format!("http://127.0.0.1:{}", self.platform_port),
+            "token": TOKEN,
+            "poll_ms": 200,
+            "unready_ms": 100,
+        });
+        self.start_with("egret-entry", &format!("entry-{i}"), &settings)
+    }
+
+    pub fn start_agent(&self, i: usize) -> Process {
+        let entries: Vec<_> =
+            self.entry_rpc_ports.iter().map(|p| format!("127.0.0.1:{p}")).collect();
+        let settings = json!({
+            "name": format!("agent-{i}"),
+            "service": "ledger",
+            "rack": format!("rack-{}", i / 3),
+            "http": format!("127.0.0.1:{}", self.agent_ports[i]),
+            "rpc": format!("127.0.0.1:{}", self.agent_rpc_ports[i]),
+            "entries": entries,
+            "platform": format!("http://127.0.0.1:{}", self.platform_port),
+            "token": TOKEN,
+            "beat_ms": 100,
+        });
+        self.start_with("egret-agent", &format!("agent-{i}"), &settings)
+    }
+
+    pub fn start_backend(&self, i: usize, speed: f64) -> Process {
+        let args = [
+            "--listen".to_owned(),
+            format!("127.0.0.1:{}", self.backend_ports[i]),
+            "--agent".to_owned(),
+            format!("http://127.0.0.1:{}", self.agent_ports[i]),
+            "--speed".to_owned(),
+            speed.to_string(),
+        ];
+        Process::start("standin-backend", &args)
+    }
+
+    /// Sends a request or a job through an entry.
+    pub async fn send(&self, entry: usize, kind: &str, body: &Value) -> Sent {
+        let url = format!("http://127.0.0.1:{}/v1/ledger/{kind}", self.entry_ports[entry]);
+        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+        match client.post(url).send_json(body).await {
+            Ok(mut res) => {
+                let status = res.status().as_u16();
+                let bytes = res.body().limit(16 << 20).await.unwrap_or_default();
+                Sent { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) }
+            }
+            Err(_) => Sent { status: 0, body: Value::Null },
+        }
+    }
+
+    /// How often each task was started, over all backend servers that answer.
+    pub async fn starts(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for port in &self.backend_ports {
+            let url = format!("http://127.0.0.1:{port}/admin/starts");
+            let Some(bytes) = fetch(&url).await else { continue };
+            let starts: Vec<Start> = serde_json::from_slice(&bytes).expect("starts can be read");
+            for start in starts {
+                let id = format!("{}/{}/{}", start.team, start.key, start.index);
+                *counts.entry(id).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Waits until every agent is ready and every entry can place work.
+    pub async fn wait_ready(&self) {
+        for port in self.agent_ports.iter().chain(&self.entry_ports) {
+            self.wait_for(&format!("http://127.0.0.1:{port}/readyz")).await;
+        }
+        // one more greeting tells the entries
+        sleep(Duration::from_millis(300)).await;
+    }
+
+    pub async fn wait_for(&self, url: &str) {
+        for _ in 0..WAIT_STEPS {
+            if fetch(url).await.is_some() {
+                return;
+            }
+            sleep(WAIT_STEP).await;
+        }
+        panic!("{url} never answered 200");
+    }
+
+    async fn write_fleet(&self) {
+        let fleet = json!({ "services": { "ledger": { "teams": ["coop", "mill"] } } });
+        let url = format!("http://127.0.0.1:{}/tables/egret/fleet", self.platform_port);
+        let req = Client::default().put(url).insert_header(("if-match", "0"));
+        req.send_body(fleet.to_string()).await.expect("fleet is written");
+    }
+
+    fn start_with(&self, program: &str, name: &str, settings: &Value) -> Process {
+        let path = self.folder.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).expect("settings are written");
+        Process::start(program, &["--settings".to_owned(), path.display().to_string()])
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn fetch(url: &str) -> Option<Vec<u8>> {
+    let mut res = Client::default().get(url).send().await.ok()?;
+    if !res.status().is_success() {
+        return None;
+    }
+    Some(res.body().limit(64 << 20).await.ok()?.to_vec())
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,8 @@
+//! Starts the real processes on free ports of loopback, sends work, and
+//! counts starts. The runs under failure stand in `tests`.
+
+mod fleet;
+mod process;
+
+pub use fleet::{Deployment, Sent};
+pub use process::{Process, free_port};
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! The queue of one agent: what runs next.
--- /dev/null
+++ b/crates/standin/src/backend/app.rs
@@ -0,0 +1,152 @@
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer,
+    web::{Bytes, Data, Json, PayloadConfig, get, post, put},
+};
+use base::{clock_micros, now_ms};
+use bpaf::Bpaf;
+use serde::Serialize;
+use tokio::time::sleep;
+
+use super::{
+    announce::{keep_announcing, leave},
+    starts::{Start, Starts},
+    work::{Mode, Work},
+};
+use crate::stop_signal;
+
+const MAX_BODY_BYTES: usize = 4 << 20;
+const SHUTDOWN_SECONDS: u64 = 120;
+
+/// Stand-in for a backend server
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Args {
+    /// address to listen on
+    #[bpaf(short, long, argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 7500))))]
+    listen: SocketAddr,
+    /// URL of the agent to announce to
+    #[bpaf(short, long, argument("URL"))]
+    agent: String,
+    /// how many times faster than the declared run times
+    #[bpaf(short, long, argument("FACTOR"), fallback(1.0))]
+    speed: f64,
+}
+
+struct Server {
+    speed: f64,
+    starts: Mutex<Starts>,
+    mode: Mutex<Mode>,
+}
+
+#[derive(Serialize)]
+struct Result<'a> {
+    key: &'a str,
+    index: u32,
+    ran_ms: f64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    padding: &'a str,
+}
+
+#[derive(Serialize)]
+struct Stats {
+    starts: usize,
+    running: usize,
+    most: usize,
+}
+
+/// Serves until it is told to stop.
+pub fn run() -> eyre::Result<()> {
+    let args = args().run();
+    actix_web::rt::System::new().block_on(serve(args))?;
+    Ok(())
+}
+
+async fn serve(args: Args) -> std::io::Result<()> {
+    let server =
+        Data::new(Server { speed: args.speed, starts: Mutex::default(), mode: Mutex::default() });
+    let http = HttpServer::new(move || {
+        App::new()
+            .app_data(server.clone())
+            .app_data(PayloadConfig::new(MAX_BODY_BYTES))
+            .route("/run", post().to(run_task))
+            .route("/admin/starts", get().to(starts))
+            .route("/admin/stats", get().to(stats))
+            .route("/admin/mode", put().to(set_mode))
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(SHUTDOWN_SECONDS)
+    .bind(args.listen)?
+    .run();
+    let handle = http.handle();
+    actix_web::rt::spawn(http);
+    let incarnation = clock_micros();
+    let url = format!("http://{}/run", args.listen);
+    let renewal = actix_web::rt::spawn(keep_announcing(args.agent.clone(), url, incarnation));
+    stop_signal().await;
+    renewal.abort();
+    leave(&args.agent, incarnation).await;
+    handle.stop(true).await;
+    Ok(())
+}
+
+async fn run_task(server: Data<Server>, http: HttpRequest, body: Bytes) -> HttpResponse {
+    let header = |name| http.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+    let key = header("idempotency-key");
+    let index = header("egret-index").parse().unwrap_or(0);
+    let work: Work = serde_json::from_slice(&body).unwrap_or_default();
+    let start = Start {
+        team: header("egret-team").to_owned(),
+        key: key.to_owned(),
+        index,
+        at_ms: now_ms(),
+    };
+    lock(&server.starts).begin(start);
+    let fail_all = lock(&server.mode).fail_all;
+    let ran_ms = if fail_all { 0.0 } else { work.run_ms / server.speed };
+    sleep(Duration::from_secs_f64(ran_ms / 1e3)).await;
+    lock(&server.starts).end();
+    if fail_all || work.fail {
+        return HttpResponse::InternalServerError().body("told to fail");
+    }
+    if work.cut {
+        return HttpResponse::Ok().no_chunking(1 << 10).streaming(cut_body());
+    }
+    let padding = "x".repeat(work.answer_bytes);
+    HttpResponse::Ok().json(Result { key, index, ran_ms, padding: &padding })
+}
+
+/// A body that ends in an error before its stated length.
+fn cut_body() -> impl futures::Stream<Item = std::io::Result<Bytes>> {
+    let part = Ok(Bytes::from_static(b"{\"part\":"));
+    let cut = Err(std::io::ErrorKind::ConnectionReset.into());
+    futures::stream::iter([part, cut])
+}
+
+async fn starts(server: Data<Server>) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(&server.starts).log)
+}
+
+async fn stats(server: Data<Server>) -> HttpResponse {
+    let starts = lock(&server.starts);
+    HttpResponse::Ok().json(Stats {
+        starts: starts.log.len(),
+        running: starts.running,
+        most: starts.most,
+    })
+}
+
+async fn set_mode(server: Data<Server>, mode: Json<Mode>) -> HttpResponse {
+    *lock(&server.mode) = mode.into_inner();
+    HttpResponse::Ok().finish()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/backend/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-in for a backend server: runs tasks by sleeping, logs every start by
+//! key, announces itself to its agent, and leaves gracefully.
+
+mod announce;
+mod app;
+mod starts;
+mod work;
+
+pub use app::run;
+pub use starts::Start;
--- /dev/null
+++ b/crates/standin/src/backend/work.rs
@@ -0,0 +1,23 @@
+use serde::{Deserialize, Serialize};
+
+/// What a task asks of the stand-in.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Work {
+    /// run time at speed 1, milliseconds
+    pub run_ms: f64,
+    /// end in an error
+    pub fail: bool,
+    /// cut the answer short
+    pub cut: bool,
+    /// pad the answer to this size, bytes
+    pub answer_bytes: usize,
+}
+
+/// How the whole server behaves; changed through `/admin/mode`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Mode {
+    /// fail every task at once
+    pub fail_all: bool,
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-in for the platform: versioned rows with compare-and-set, whole
+//! objects, and faults switched on through `/admin/faults`.
+
+mod app;
+mod faults;
+mod store;
+
+pub use app::run;
--- /dev/null
+++ b/crates/wire/schema/egret.capnp
@@ -0,0 +1,150 @@
+@0xbf5147c5e1f3a9d2;
+# Protocol between egretshelf processes. Every connection starts at Gate.
+
+struct TaskId {
+  team @0 :Text;
+  key @1 :Text;
+  index @2 :UInt32;
+}
+
+struct Task {
+  id @0 :TaskId;
+  service @1 :Text;
+  operation @2 :Text;
+  issuedMs @3 :UInt64;   # unix time, 0 when the caller gave none
+  leftMs @4 :UInt32;     # time left to the deadline
+  keyed @5 :Bool;        # needs a claim at the home
+  repeatable @6 :Bool;
+  sizeMs @7 :UInt32;     # declared run time, 0 when none
+  digestHigh @8 :UInt64; # digest of operation and body
+  digestLow @9 :UInt64;
+  offer @10 :UInt64;     # one placement of the task, what a bar names
+  body @11 :Data;
+}
+
+enum Outcome {
+  done @0;
+  failed @1;
+  notRun @2;
+  unknown @3;
+}
+
+struct Answer {
+  outcome @0 :Outcome;
+  body @1 :Data;
+  reason @2 :Text;
+  retryMs @3 :UInt32;    # when to come back, for notRun
+  ranUs @4 :UInt64;      # run time on the backend server
+  agent @5 :Text;        # who ran it
+}
+
+struct Load {
+  queued @0 :UInt32;
+  running @1 :UInt32;
+  slots @2 :UInt32;
+  backlogUs @3 :UInt64;  # run time waiting and left, over all slots
+  meanUs @4 :UInt64;     # mean observed run time
+  ready @5 :Bool;        # takes new work
+}
+
+struct Reply {
+  load @0 :Load;
+  union {
+    answer @1 :Answer;
+    held @2 :Text;       # another agent holds the claim
+    conflict @3 :Void;   # the key was used with another body
+  }
+}
+
+struct AgentInfo {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;      # its rpc address
+  centre @3 :Text;
+  rack @4 :Text;
+  service @5 :Text;
+  load @6 :Load;
+  version @7 :UInt64;    # fleet configuration in force
+  epoch @8 :UInt64;      # roster in force
+}
+
+struct Member {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  centre @3 :Text;
+  rack @4 :Text;
+}
+
+struct Claim {
+  id @0 :TaskId;
+  digestHigh @1 :UInt64;
+  digestLow @2 :UInt64;
+  issuedMs @3 :UInt64;
+  offer @4 :UInt64;
+}
+
+struct Grant {
+  union {
+    granted @0 :Void;
+    held @1 :Text;       # name of the agent that holds the claim
+    barred @2 :Void;     # this offer was withdrawn
+    conflict @3 :Void;
+    notHome @4 :UInt64;  # the epoch known here
+    unknown @5 :Text;    # whether it ran before can't be told; why
+    full @6 :Void;       # no room for another claim
+  }
+}
+
+enum Stage {
+  unseen @0;
+  queued @1;
+  running @2;
+  over @3;
+}
+
+struct Record {
+  claim @0 :Claim;
+  executor @1 :Text;
+  incarnation @2 :UInt64;
+  epoch @3 :UInt64;      # epoch the claim was granted in
+}
+
+struct Beat {
+  from @0 :Member;
+  epoch @1 :UInt64;
+  promised @2 :UInt64;
+  settled @3 :UInt64;
+}
+
+interface Gate {
+  open @0 (token :Data, protocol :UInt16) -> (agent :Agent, entry :Entry);
+}
+
+interface Entry {
+  # An agent announces itself, and learns of entries and configuration.
+  greet @0 (info :AgentInfo) -> (entries :List(Text), version :UInt64, document :Text);
+}
+
+interface Agent {
+  # From an entry: run a task here, and wait for its answer.
+  run @0 (task :Task) -> (reply :Reply);
+  # From an entry: wait for the answer of a task that is held here.
+  attach @1 (id :TaskId, leftMs :UInt32) -> (reply :Reply);
+  # What is known here of a task.
+  status @2 (id :TaskId) -> (stage :Stage, reply :Reply);
+  # Stop a task that has not started.
+  cancel @3 (ids :List(TaskId)) -> (stopped :List(Bool));
+  # From an executor to the home: ask for claims.
+  claim @4 (epoch :UInt64, executor :Member, claims :List(Claim)) -> (grants :List(Grant));
+  # From an executor to the home: these never started, give the claims up.
+  release @5 (epoch :UInt64, executor :Member, claims :List(Claim)) -> ();
+  # From an entry to the home: withdraw an offer, or learn who holds the claim.
+  bar @6 (epoch :UInt64, claim :Claim) -> (grant :Grant);
+  # Between members of a roster.
+  beat @7 (beat :Beat) -> (ack :Beat);
+  # Promise an epoch, and hand over the records whose home is the caller.
+  collect @8 (epoch :UInt64, home :Member) -> (records :List(Record), more :Bool);
+  # From an operator through an entry.
+  drain @9 (on :Bool) -> (load :Load);
+}
--- /dev/null
+++ b/crates/wire/src/door.rs
@@ -0,0 +1,55 @@
+use std::rc::Rc;
+
+use base::{Event, Token};
+use capnp::Error;
+
+use crate::{
+    PROTOCOL,
+    egret_capnp::{agent, entry, gate},
+};
+
+/// First object of every connection: hands out the real ones for the token.
+pub struct Door {
+    token: Token,
+    agent: Option<agent::Client>,
+    entry: Option<entry::Client>,
+}
+
+impl Door {
+    pub fn for_agent(token: Token, agent: agent::Client) -> Self {
+        Self { token, agent: Some(agent), entry: None }
+    }
+
+    pub fn for_entry(token: Token, entry: entry::Client) -> Self {
+        Self { token, agent: None, entry: Some(entry) }
+    }
+}
+
+impl gate::Server for Door {
+    async fn open(
+        self: Rc<Self>,
+        params: gate::OpenParams,
+        mut results: gate::OpenResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        if !self.token.matches(params.get_token()?) {
+            return Err(refuse("wrong token"));
+        }
+        if params.get_protocol() != PROTOCOL {
+            return Err(refuse("wrong protocol version"));
+        }
+        let mut results = results.get();
+        if let Some(agent) = &self.agent {
+            results.set_agent(agent.clone());
+        }
+        if let Some(entry) = &self.entry {
+            results.set_entry(entry.clone());
+        }
+        Ok(())
+    }
+}
+
+fn refuse(why: &str) -> Error {
+    Event::PeerRefused.log(format_args!("{why}"));
+    Error::failed(why.to_owned())
+}
--- /dev/null
+++ b/crates/wire/src/info.rs
@@ -0,0 +1,88 @@
+use std::{net::SocketAddr, time::Duration};
+
+use base::Name;
+
+use crate::{
+    Error, Result,
+    egret_capnp::{agent_info, load},
+    text::text,
+};
+
+/// How busy an agent is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    pub queued: u32,
+    pub running: u32,
+    pub slots: u32,
+    /// run time waiting and left, over all slots
+    pub backlog: Duration,
+    /// mean observed run time
+    pub mean: Duration,
+    pub ready: bool,
+}
+
+/// What an agent tells of itself when it greets an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentInfo {
+    pub name: Name,
+    pub incarnation: u64,
+    pub address: SocketAddr,
+    pub centre: Name,
+    pub rack: Name,
+    pub service: Name,
+    pub load: Load,
+    /// fleet configuration in force
+    pub version: u64,
+    /// roster in force
+    pub epoch: u64,
+}
+
+pub fn write_load(mut to: load::Builder<'_>, load: &Load) {
+    to.set_queued(load.queued);
+    to.set_running(load.running);
+    to.set_slots(load.slots);
+    to.set_backlog_us(load.backlog.as_micros() as u64);
+    to.set_mean_us(load.mean.as_micros() as u64);
+    to.set_ready(load.ready);
+}
+
+pub fn read_load(from: load::Reader<'_>) -> Load {
+    Load {
+        queued: from.get_queued(),
+        running: from.get_running(),
+        slots: from.get_slots(),
+        backlog: Duration::from_micros(from.get_backlog_us()),
+        mean: Duration::from_micros(from.get_mean_us()),
+        ready: from.get_ready(),
+    }
+}
+
+pub fn write_info(mut to: agent_info::Builder<'_>, info: &AgentInfo) {
+    to.set_name(&*info.name);
+    to.set_incarnation(info.incarnation);
+    to.set_address(info.address.to_string().as_str());
+    to.set_centre(&*info.centre);
+    to.set_rack(&*info.rack);
+    to.set_service(&*info.service);
+    to.set_version(info.version);
+    to.set_epoch(info.epoch);
+    write_load(to.init_load(), &info.load);
+}
+
+pub fn read_info(from: agent_info::Reader<'_>) -> Result<AgentInfo> {
+    Ok(AgentInfo {
+        name: text(from.get_name())?,
+        incarnation: from.get_incarnation(),
+        address: read_address(&text(from.get_address())?)?,
+        centre: text(from.get_centre())?,
+        rack: text(from.get_rack())?,
+        service: text(from.get_service())?,
+        load: read_load(from.get_load()?),
+        version: from.get_version(),
+        epoch: from.get_epoch(),
+    })
+}
+
+fn read_address(text: &str) -> Result<SocketAddr> {
+    text.parse().map_err(|_| Error::Malformed(format!("not an address: {text}")))
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,46 @@
+//! The protocol between egretshelf processes: the generated code of
+//! `schema/egret.capnp`, connections that open with the fleet token, and the
+//! typed messages that the rest of the code works with.
+
+mod answer;
+mod door;
+#[allow(clippy::all, clippy::unimplemented, clippy::wildcard_imports)]
+#[rustfmt::skip]
+pub mod egret_capnp;
+mod info;
+mod link;
+mod task;
+mod text;
+
+pub use answer::{Reply, read_reply, write_answer, write_reply};
+pub use door::Door;
+pub use info::{AgentInfo, Load, read_info, read_load, write_info, write_load};
+pub use link::{Link, dial, serve};
+pub use task::{read_id, read_task, write_id, write_task};
+
+/// Version of the protocol; peers with another one are refused.
+pub const PROTOCOL: u16 = 1;
+
+/// What can go wrong between two of our processes.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Error {
+    /// nothing was sent
+    #[error("can't connect to {address}: {why}")]
+    Connect { address: String, why: String },
+    /// the peer didn't accept the token or the protocol version
+    #[error("refused by {address}: {why}")]
+    Refused { address: String, why: String },
+    /// what was sent may have been received
+    #[error("link lost: {0}")]
+    Lost(String),
+    #[error("message can't be read: {0}")]
+    Malformed(String),
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
+
+impl From<capnp::Error> for Error {
+    fn from(e: capnp::Error) -> Self {
+        Error::Lost(e.to_string())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,133 @@
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{Event, Token};
+use capnp::message::ReaderOptions;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{
+    Error, PROTOCOL, Result,
+    egret_capnp::{agent, entry, gate},
+};
+
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest message taken from a peer, in words of 8 bytes.
+const MAX_MESSAGE_WORDS: usize = 2 << 20;
+
+/// An open connection to one of our processes.
+pub struct Link {
+    gate: gate::Client,
+    down: Rc<Cell<bool>>,
+    address: SocketAddr,
+    agent: Option<agent::Client>,
+    entry: Option<entry::Client>,
+}
+
+impl Link {
+    /// Whether the connection has ended.
+    pub fn is_down(&self) -> bool {
+        self.down.get()
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The agent at the other end.
+    ///
+    /// # Errors
+    /// When the other end is no agent.
+    pub fn agent(&self) -> Result<agent::Client> {
+        self.agent.clone().ok_or_else(|| self.refused("not an agent"))
+    }
+
+    /// The entry at the other end.
+    ///
+    /// # Errors
+    /// When the other end is no entry.
+    pub fn entry(&self) -> Result<entry::Client> {
+        self.entry.clone().ok_or_else(|| self.refused("not an entry"))
+    }
+
+    async fn open(&mut self, token: &Token) -> Result<()> {
+        let mut req = self.gate.open_request();
+        req.get().set_token(token.as_bytes());
+        req.get().set_protocol(PROTOCOL);
+        let res = req.send().promise.await.map_err(|e| self.refused(&e.to_string()))?;
+        let res = res.get()?;
+        self.agent = res.has_agent().then(|| res.get_agent()).transpose()?;
+        self.entry = res.has_entry().then(|| res.get_entry()).transpose()?;
+        Ok(())
+    }
+
+    fn refused(&self, why: &str) -> Error {
+        Error::Refused { address: self.address.to_string(), why: why.to_owned() }
+    }
+}
+
+/// Connects to a process of ours and opens it with the token.
+///
+/// # Errors
+/// `Connect` when it isn't there, `Refused` when it won't have us.
+pub async fn dial(address: SocketAddr, token: &Token) -> Result<Link> {
+    match timeout(DIAL_TIMEOUT, dial_open(address, token)).await {
+        Ok(link) => link,
+        Err(_) => Err(connect_error(address, "no answer in time")),
+    }
+}
+
+/// Takes connections for as long as the process runs.
+pub async fn serve(listener: TcpListener, gate: gate::Client) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(start(stream, Side::Server, Some(gate.clone()))),
+            Err(e) => {
+                Event::LinkLost.log(format_args!("accept failed: {e}"));
+                tokio::time::sleep(DIAL_TIMEOUT).await;
+            }
+        }
+    }
+}
+
+async fn dial_open(address: SocketAddr, token: &Token) -> Result<Link> {
+    let stream =
+        TcpStream::connect(address).await.map_err(|e| connect_error(address, &e.to_string()))?;
+    let started = start(stream, Side::Client, None);
+    let mut link =
+        Link { gate: started.gate, down: started.down, address, agent: None, entry: None };
+    link.open(token).await?;
+    Ok(link)
+}
+
+struct Started {
+    gate: gate::Client,
+    down: Rc<Cell<bool>>,
+}
+
+fn start(stream: TcpStream, side: Side, gate: Option<gate::Client>) -> Started {
+    // small messages must not wait for the next one
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    let network = VatNetwork::new(read.compat(), write.compat_write(), side, options);
+    let mut system = RpcSystem::new(Box::new(network), gate.map(|g| g.client));
+    let gate = system.bootstrap(Side::Server);
+    let down = Rc::new(Cell::new(false));
+    let flag = down.clone();
+    actix::spawn(async move {
+        if let Err(e) = system.await {
+            log::debug!("link ended: {e}");
+        }
+        flag.set(true);
+    });
+    Started { gate, down }
+}
+
+fn connect_error(address: SocketAddr, why: &str) -> Error {
+    Error::Connect { address: address.to_string(), why: why.to_owned() }
+}
