Readiness of a fresh entry waits until agents have greeted it

Cause: rolling_restart_cuts_nothing (new) failed with 25 of 2000 requests `not-run`, 'no agent of the service takes new work': a restarted entry was ready as soon as it had read the fleet configuration, before any agent had dialled it again. Ruled out: agents cutting work at their stop (their part of the restart showed no loss). Change: `warm_ms` after its start an entry is unready.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -39,6 +39,8 @@
     pub poll_ms: u64,
     /// an agent unheard for this long gets no new work, milliseconds
     pub silence_ms: u64,
+    /// time for the agents to greet a fresh entry before it is ready, milliseconds
+    pub warm_ms: u64,
     /// time for the balancer to see this entry unready, milliseconds
     pub unready_ms: u64,
 }
@@ -56,6 +58,7 @@
             body_bytes: 1 << 20,
             poll_ms: 1000,
             silence_ms: 2000,
+            warm_ms: 1500,
             unready_ms: 500,
         }
     }
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -4,7 +4,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::Event;
@@ -31,8 +31,9 @@
     pub settings: Arc<EntrySettings>,
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
-    /// false from the start of a graceful shutdown
-    pub ready: Arc<AtomicBool>,
+    pub started: Instant,
+    /// true from the start of a graceful shutdown
+    pub stopping: Arc<AtomicBool>,
 }
 
 /// Runs an entry until it is told to stop.
@@ -53,7 +54,8 @@
     let shared = Shared {
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
-        ready: Arc::new(AtomicBool::new(true)),
+        started: Instant::now(),
+        stopping: Arc::default(),
         settings: Arc::new(settings),
     };
     let address = shared.settings.rpc;
@@ -72,7 +74,7 @@
 
     stop_signal().await;
     Event::Stopping.log(format_args!("{}", shared.settings.name));
-    shared.ready.store(false, Ordering::Release);
+    shared.stopping.store(true, Ordering::Release);
     sleep(Duration::from_millis(shared.settings.unready_ms)).await;
     server.stop(true).await;
     Event::Stopped.log(format_args!("{}", shared.settings.name));
--- a/crates/entry/src/http/health.rs
+++ b/crates/entry/src/http/health.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use actix_web::{HttpResponse, web::Data};
 
@@ -9,11 +9,14 @@
 }
 
 pub async fn readyz(shared: Data<Shared>) -> HttpResponse {
-    if !shared.ready.load(Ordering::Acquire) {
+    if shared.stopping.load(Ordering::Acquire) {
         return HttpResponse::ServiceUnavailable().body("stopping\n");
     }
     if shared.fleet.get().version == 0 {
         return HttpResponse::ServiceUnavailable().body("no fleet configuration yet\n");
     }
+    if shared.started.elapsed() < Duration::from_millis(shared.settings.warm_ms) {
+        return HttpResponse::ServiceUnavailable().body("agents are still greeting\n");
+    }
     HttpResponse::Ok().body("ready\n")
 }
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -85,6 +85,7 @@
             "platform": format!("http://127.0.0.1:{}", self.platform_port),
             "token": TOKEN,
             "poll_ms": 200,
+            "warm_ms": 400,
             "unready_ms": 100,
         });
         self.start_with("egret-entry", &format!("entry-{i}"), &settings)
@@ -136,11 +137,8 @@
     /// How often each task was started, over all backend servers that answer.
     pub async fn starts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
-        for port in &self.backend_ports {
-            let url = format!("http://127.0.0.1:{port}/admin/starts");
-            let Some(bytes) = fetch(&url).await else { continue };
-            let starts: Vec<Start> = serde_json::from_slice(&bytes).expect("starts can be read");
-            for start in starts {
+        for i in 0..self.backend_ports.len() {
+            for start in self.starts_at(i).await {
                 let id = format!("{}/{}/{}", start.team, start.key, start.index);
                 *counts.entry(id).or_default() += 1;
             }
@@ -148,6 +146,13 @@
         counts
     }
 
+    /// The start log of one backend server; empty when it doesn't answer.
+    pub async fn starts_at(&self, i: usize) -> Vec<Start> {
+        let url = format!("http://127.0.0.1:{}/admin/starts", self.backend_ports[i]);
+        let Some(bytes) = fetch(&url).await else { return Vec::new() };
+        serde_json::from_slice(&bytes).expect("starts can be read")
+    }
+
     /// Waits until every agent is ready and every entry can place work.
     pub async fn wait_ready(&self) {
         for port in self.agent_ports.iter().chain(&self.entry_ports) {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,8 +1,10 @@
 //! Starts the real processes on free ports of loopback, sends work, and
 //! counts starts. The runs under failure stand in `tests`.
 
+mod balancer;
 mod fleet;
 mod process;
 
+pub use balancer::Balancer;
 pub use fleet::{Deployment, Sent};
 pub use process::{Process, free_port};
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -3,12 +3,16 @@
     net::TcpListener,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
 };
 
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use tokio::time::sleep;
+
+const POLL: Duration = Duration::from_millis(10);
 
 /// A process started by a test; killed when dropped.
 pub struct Process {
@@ -37,10 +41,15 @@
         let _ = self.child.wait();
     }
 
-    /// Asks it to stop and waits for its end.
-    pub fn stop(&mut self) -> ExitStatus {
+    /// Asks it to stop, and waits for its end while other work goes on.
+    pub async fn stop_gracefully(&mut self) -> ExitStatus {
         self.signal(Signal::SIGTERM);
-        self.child.wait().expect("process can be waited for")
+        loop {
+            if let Some(status) = self.child.try_wait().expect("process can be waited for") {
+                return status;
+            }
+            sleep(POLL).await;
+        }
     }
 }
 
--- a/crates/standin/src/backend/app.rs
+++ b/crates/standin/src/backend/app.rs
@@ -22,6 +22,7 @@
 
 const MAX_BODY_BYTES: usize = 4 << 20;
 const SHUTDOWN_SECONDS: u64 = 120;
+const LEAVE_POLL: Duration = Duration::from_millis(20);
 
 /// Stand-in for a backend server
 #[derive(Clone, Debug, Bpaf)]
@@ -70,6 +71,7 @@
 async fn serve(args: Args) -> std::io::Result<()> {
     let server =
         Data::new(Server { speed: args.speed, starts: Mutex::default(), mode: Mutex::default() });
+    let running = server.clone();
     let http = HttpServer::new(move || {
         App::new()
             .app_data(server.clone())
@@ -92,6 +94,10 @@
     stop_signal().await;
     renewal.abort();
     leave(&args.agent, incarnation).await;
+    // stays open meanwhile, so that wrongly sent work would be seen to start
+    while lock(&running.starts).running > 0 {
+        sleep(LEAVE_POLL).await;
+    }
     handle.stop(true).await;
     Ok(())
 }
