--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -43,8 +43,7 @@
 
     let rpc = AgentRpc::new(runner.clone(), greeter.clone());
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
-    let gate = capnp_rpc::new_client(door);
-    actix::spawn(wire::serve(listener, gate));
+    actix::spawn(wire::serve(listener, door));
     let server = http::start(settings.http, runner.clone())?;
     greeter.start();
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -65,7 +65,7 @@
         shared.settings.token.clone(),
         capnp_rpc::new_client(EntryRpc::new(shared.clone())),
     );
-    actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
+    actix::spawn(wire::serve(listener, door));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
     actix::spawn(Watcher::new(platform, shared.fleet.clone(), poll).run());
--- a/crates/wire/src/door.rs
+++ b/crates/wire/src/door.rs
@@ -1,4 +1,4 @@
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use base::{Event, Token};
 use capnp::Error;
@@ -9,19 +9,31 @@
 };
 
 /// First object of every connection: hands out the real ones for the token.
+#[derive(Clone)]
 pub struct Door {
     token: Token,
     agent: Option<agent::Client>,
     entry: Option<entry::Client>,
+    opened: Rc<Cell<bool>>,
 }
 
 impl Door {
     pub fn for_agent(token: Token, agent: agent::Client) -> Self {
-        Self { token, agent: Some(agent), entry: None }
+        Self { token, agent: Some(agent), entry: None, opened: Rc::default() }
     }
 
     pub fn for_entry(token: Token, entry: entry::Client) -> Self {
-        Self { token, agent: None, entry: Some(entry) }
+        Self { token, agent: None, entry: Some(entry), opened: Rc::default() }
+    }
+
+    /// The same door for another connection, not opened yet.
+    pub(crate) fn fresh(&self) -> Self {
+        Self { opened: Rc::default(), ..self.clone() }
+    }
+
+    /// True once the peer has shown the token.
+    pub(crate) fn opened(&self) -> Rc<Cell<bool>> {
+        self.opened.clone()
     }
 }
 
@@ -38,6 +50,7 @@
         if params.get_protocol() != PROTOCOL {
             return Err(refuse("wrong protocol version"));
         }
+        self.opened.set(true);
         let mut results = results.get();
         if let Some(agent) = &self.agent {
             results.set_agent(agent.clone());
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,20 +1,27 @@
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use base::{Event, Token};
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::timeout,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinHandle,
+    time::{sleep, timeout},
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::{
-    Error, PROTOCOL, Result,
+    Door, Error, PROTOCOL, Result,
     egret_capnp::{agent, entry, gate},
 };
 
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// A peer that has not shown the token by then is dropped.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Most connections at a time, opened or not.
+const MAX_CONNECTIONS: usize = 8192;
 /// Largest message taken from a peer, in words of 8 bytes.
 const MAX_MESSAGE_WORDS: usize = 2 << 20;
 
@@ -81,18 +88,34 @@
 }
 
 /// Takes connections for as long as the process runs.
-pub async fn serve(listener: TcpListener, gate: gate::Client) {
+pub async fn serve(listener: TcpListener, door: Door) {
+    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => drop(start(stream, Side::Server, Some(gate.clone()))),
+            Ok((stream, _)) => receive(stream, door.fresh(), place),
             Err(e) => {
                 Event::LinkLost.log(format_args!("accept failed: {e}"));
-                tokio::time::sleep(DIAL_TIMEOUT).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
+fn receive(stream: TcpStream, door: Door, place: OwnedSemaphorePermit) {
+    let opened = door.opened();
+    let started = start(stream, Side::Server, Some(capnp_rpc::new_client(door)));
+    actix::spawn(async move {
+        sleep(OPEN_TIMEOUT).await;
+        if !opened.get() {
+            started.task.abort();
+        }
+        // the end of an aborted task is as good as any
+        let _ = started.task.await;
+        drop(place);
+    });
+}
+
 async fn dial_open(address: SocketAddr, token: &Token) -> Result<Link> {
     let stream =
         TcpStream::connect(address).await.map_err(|e| connect_error(address, &e.to_string()))?;
@@ -106,6 +129,7 @@
 struct Started {
     gate: gate::Client,
     down: Rc<Cell<bool>>,
+    task: JoinHandle<()>,
 }
 
 fn start(stream: TcpStream, side: Side, gate: Option<gate::Client>) -> Started {
@@ -119,13 +143,13 @@
     let gate = system.bootstrap(Side::Server);
     let down = Rc::new(Cell::new(false));
     let flag = down.clone();
-    actix::spawn(async move {
+    let task = actix::spawn(async move {
         if let Err(e) = system.await {
             log::debug!("link ended: {e}");
         }
         flag.set(true);
     });
-    Started { gate, down }
+    Started { gate, down, task }
 }
 
 fn connect_error(address: SocketAddr, why: &str) -> Error {
