Queue of an agent: classes by observed run time, behind a trait beside FIFO

Cause: the agent's one VecDeque lets short work wait behind long, starts work that can't end by its deadline, and is scanned whole to take a task out. The wire load gains room per class and the share of failed runs, for the choice of an agent.

--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -1,14 +1,12 @@
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use actix::{Actor, ActorContext, AsyncContext, Context, Handler, MessageResult, ResponseFuture};
-use base::{Answer, Event, Task, invariant};
-use conf::AgentSettings;
+use base::{Answer, Event, Outcome, Task, invariant};
+use conf::{AgentSettings, QueueKind};
+use queue::{Ask, Class, Classed, Discipline, Fifo, Next, Refused, RunKey, Settings};
 use slab::Slab;
 use tokio::sync::oneshot;
-use wire::{Load, Reply};
+use wire::{Load, Reply, Room};
 
 use super::{
     backend::Backend,
@@ -16,9 +14,11 @@
 };
 
 const TICK: Duration = Duration::from_millis(100);
+/// How soon a task that has become too late is told.
+const LATE_TICK: Duration = Duration::from_millis(10);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
-/// Weight of the newest run in the mean run time.
-const MEAN_WEIGHT: f64 = 0.1;
+/// Weight of the newest run in the share of failed runs.
+const FAILING_WEIGHT: f64 = 0.1;
 
 /// Queues tasks and runs them on the backend server, never more at once than
 /// there are slots.
@@ -28,9 +28,10 @@
     backend: Backend,
     server: Option<Server>,
     drain: Drain,
-    queue: VecDeque<Pending>,
-    running: Slab<Pending>,
-    mean: Duration,
+    queue: Box<dyn Discipline<Pending>>,
+    running: Slab<Run>,
+    /// share of the newest runs that failed
+    failing: f64,
 }
 
 /// The backend server that announced itself.
@@ -45,6 +46,12 @@
     reply: oneshot::Sender<Response>,
 }
 
+/// A task on the backend server, and the slot it takes.
+struct Run {
+    pending: Pending,
+    key: RunKey,
+}
+
 impl Runner {
     pub fn new(settings: &AgentSettings) -> Self {
         Self {
@@ -53,21 +60,26 @@
             backend: Backend::new(settings.connections, settings.name.clone()),
             server: None,
             drain: Drain::Off,
-            queue: VecDeque::new(),
+            queue: discipline(settings),
             running: Slab::new(),
-            mean: Duration::ZERO,
+            failing: 0.0,
         }
     }
 
     fn load(&self) -> Load {
-        let waiting = self.queue.len() + self.running.len();
+        let now = Instant::now();
+        let short = self.queue.room(Class::Short, now);
+        let long = self.queue.room(Class::Long, now);
         Load {
-            queued: self.queue.len() as u32,
+            queued: self.queue.queued() as u32,
             running: self.running.len() as u32,
             slots: self.slots as u32,
-            backlog: self.mean * waiting as u32 / self.slots as u32,
-            mean: self.mean,
+            backlog: short.wait,
+            mean: short.mean,
             ready: self.is_ready(),
+            short: room(short),
+            long: room(long),
+            failing: self.failing,
         }
     }
 
@@ -80,27 +92,33 @@
             self.answer(pending, Answer::not_run("agent takes no new work", RETRY_AFTER));
             return;
         }
-        self.queue.push_back(pending);
+        let task = &pending.task;
+        let ask = Ask { operation: task.operation.clone(), deadline: task.deadline };
+        if let Err(Refused { item, retry_after }) = self.queue.push(ask, pending, Instant::now()) {
+            self.answer(item, Answer::not_run("agent can't end it in time", retry_after));
+            return;
+        }
         self.fill(ctx);
     }
 
-    /// Starts queued tasks while slots are free.
+    /// Starts queued tasks while slots are free, and tells those too late.
     fn fill(&mut self, ctx: &mut Context<Self>) {
-        while self.running.len() < self.slots {
-            let Some(server) = &self.server else { return };
+        while let Some(server) = &self.server {
             let url = server.url.clone();
-            let Some(pending) = self.queue.pop_front() else { return };
-            if pending.task.deadline <= Instant::now() {
-                self.answer(pending, Answer::not_run("deadline passed in the queue", RETRY_AFTER));
-                continue;
+            match self.queue.pop(Instant::now()) {
+                Next::Start(start) => self.begin(url, start.item, start.run, ctx),
+                Next::Late(pending) => {
+                    let answer = Answer::not_run("deadline too close in the queue", RETRY_AFTER);
+                    self.answer(pending, answer);
+                }
+                Next::Idle => return,
             }
-            self.begin(url, pending, ctx);
         }
     }
 
-    fn begin(&mut self, url: String, pending: Pending, ctx: &mut Context<Self>) {
+    fn begin(&mut self, url: String, pending: Pending, key: RunKey, ctx: &mut Context<Self>) {
         let task = pending.task.clone();
-        let slot = self.running.insert(pending);
+        let slot = self.running.insert(Run { pending, key });
         invariant!(self.running.len() <= self.slots, "{} tasks run at once", self.running.len());
         let run = self.backend.clone().run(url, task);
         let runner = ctx.address();
@@ -127,26 +145,40 @@
     }
 
     fn refuse_queue(&mut self, reason: &str) {
-        for pending in std::mem::take(&mut self.queue) {
+        for pending in self.queue.clear() {
             self.answer(pending, Answer::not_run(reason, RETRY_AFTER));
         }
     }
 
-    fn observe(&mut self, ran: Duration) {
-        if self.mean.is_zero() {
-            self.mean = ran;
-            return;
-        }
-        self.mean = self.mean.mul_f64(1.0 - MEAN_WEIGHT) + ran.mul_f64(MEAN_WEIGHT);
+    /// Learns from a run; a failure tells nothing of speed.
+    fn observe(&mut self, key: RunKey, answer: &Answer) {
+        let done = answer.outcome == Outcome::Done;
+        self.queue.end(key, done.then_some(answer.ran));
+        let failed = if done { 0.0 } else { 1.0 };
+        self.failing += (failed - self.failing) * FAILING_WEIGHT;
+    }
+}
+
+fn discipline(settings: &AgentSettings) -> Box<dyn Discipline<Pending>> {
+    let slots = settings.slots as usize;
+    let queue = Settings { slots, ..Settings::default() };
+    match settings.queue {
+        QueueKind::Classes => Box::new(Classed::new(queue)),
+        QueueKind::Fifo => Box::new(Fifo::new(queue)),
     }
 }
 
+fn room(room: queue::Room) -> Room {
+    Room { free: room.free, wait: room.wait, mean: room.mean }
+}
+
 impl Actor for Runner {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
         ctx.set_mailbox_capacity(1 << 16);
         ctx.run_interval(TICK, |runner, _| runner.check_renewal());
+        ctx.run_interval(LATE_TICK, |runner, ctx| runner.fill(ctx));
     }
 
     fn stopping(&mut self, ctx: &mut Context<Self>) -> actix::Running {
@@ -173,8 +205,8 @@
     type Result = ();
 
     fn handle(&mut self, ended: Ended, ctx: &mut Context<Self>) {
-        let pending = self.running.remove(ended.slot);
-        self.observe(ended.answer.ran);
+        let Run { pending, key } = self.running.remove(ended.slot);
+        self.observe(key, &ended.answer);
         self.fill(ctx);
         self.answer(pending, ended.answer);
     }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -72,6 +72,17 @@
     }
 }
 
+/// Order in which an agent starts queued tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueKind {
+    /// short work beside long, by deadline and run times observed
+    #[default]
+    Classes,
+    /// first in, first out: a baseline for measurements
+    Fifo,
+}
+
 /// Settings of `egret-agent`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -94,6 +105,8 @@
     pub slots: u32,
     /// connections it may open to its backend server
     pub connections: u32,
+    /// order in which queued tasks start
+    pub queue: QueueKind,
     /// how often entries are greeted, milliseconds
     pub beat_ms: u64,
     /// a backend server that has not renewed for this long is gone, milliseconds
@@ -114,6 +127,7 @@
             token: Token::default(),
             slots: 8,
             connections: 64,
+            queue: QueueKind::default(),
             beat_ms: 500,
             renew_ms: 3000,
         }
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -45,6 +45,16 @@
   backlogUs @3 :UInt64;  # run time waiting and left, over all slots
   meanUs @4 :UInt64;     # mean observed run time
   ready @5 :Bool;        # takes new work
+  short @6 :Room;
+  long @7 :Room;
+  failing @8 :Float64;   # share of the newest runs that failed
+}
+
+# Room for one class of work.
+struct Room {
+  free @0 :UInt32;       # slots it could take now
+  waitUs @1 :UInt64;     # expected wait of one more task
+  meanUs @2 :UInt64;     # mean observed run time
 }
 
 struct Reply {
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -1339,7 +1339,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -1371,11 +1371,31 @@
         pub fn get_ready(self) -> bool {
             self.reader.get_bool_field(96)
         }
+        #[inline]
+        pub fn get_short(self) -> ::capnp::Result<crate::egret_capnp::room::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_short(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_long(self) -> ::capnp::Result<crate::egret_capnp::room::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_long(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_failing(self) -> f64 {
+            self.reader.get_data_field::<f64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1473,6 +1493,46 @@
         pub fn set_ready(&mut self, value: bool)  {
             self.builder.set_bool_field(96, value);
         }
+        #[inline]
+        pub fn get_short(self) -> ::capnp::Result<crate::egret_capnp::room::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_short(&mut self, value: crate::egret_capnp::room::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_short(self, ) -> crate::egret_capnp::room::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_short(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_long(self) -> ::capnp::Result<crate::egret_capnp::room::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_long(&mut self, value: crate::egret_capnp::room::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_long(self, ) -> crate::egret_capnp::room::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_long(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_failing(self) -> f64 {
+            self.builder.get_data_field::<f64>(4)
+        }
+        #[inline]
+        pub fn set_failing(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1482,68 +1542,95 @@
         }
     }
     impl Pipeline  {
+        pub fn get_short(&self) -> crate::egret_capnp::room::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_long(&self) -> crate::egret_capnp::room::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(141, 197, 61, 107, 176, 75, 155, 214),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 76, 111, 97, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(113, 117, 101, 117, 101, 100, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1593,6 +1680,30 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 111, 114, 116, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 166, 79, 36, 50, 232, 87, 181),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 110, 103, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 166, 79, 36, 50, 232, 87, 181),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 105, 110, 103, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1602,6 +1713,9 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::egret_capnp::room::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::egret_capnp::room::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1615,13 +1729,264 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,0,5,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,8,7,4,0,5,1,6,2];
         pub(crate) const TYPE_ID: u64 = 0xd69b_4bb0_6b3d_c58d;
     }
 }
 
+pub mod room {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_free(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_wait_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_mean_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_free(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_free(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_wait_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_wait_us(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_mean_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_mean_us(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(156, 166, 79, 36, 50, 232, 87, 181),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 82, 111, 111, 109),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 101, 101, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 85, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 97, 110, 85, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xb557_e832_244f_a69c;
+    }
+}
+
 pub mod reply {
     pub use self::Which::{Answer,Held,Conflict};
 
--- a/crates/wire/src/info.rs
+++ b/crates/wire/src/info.rs
@@ -4,12 +4,12 @@
 
 use crate::{
     Error, Result,
-    egret_capnp::{agent_info, load},
+    egret_capnp::{agent_info, load, room},
     text::text,
 };
 
 /// How busy an agent is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub queued: u32,
     pub running: u32,
@@ -19,10 +19,25 @@
     /// mean observed run time
     pub mean: Duration,
     pub ready: bool,
+    pub short: Room,
+    pub long: Room,
+    /// share of the newest runs that failed, 0 to 1
+    pub failing: f64,
+}
+
+/// Room for one class of work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// slots it could take now
+    pub free: u32,
+    /// expected wait of one more task
+    pub wait: Duration,
+    /// mean observed run time
+    pub mean: Duration,
 }
 
 /// What an agent tells of itself when it greets an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentInfo {
     pub name: Name,
     pub incarnation: u64,
@@ -44,9 +59,13 @@
     to.set_backlog_us(load.backlog.as_micros() as u64);
     to.set_mean_us(load.mean.as_micros() as u64);
     to.set_ready(load.ready);
+    to.set_failing(load.failing);
+    write_room(to.reborrow().init_short(), &load.short);
+    write_room(to.init_long(), &load.long);
 }
 
 pub fn read_load(from: load::Reader<'_>) -> Load {
+    let room = |room: capnp::Result<room::Reader<'_>>| room.map(read_room).unwrap_or_default();
     Load {
         queued: from.get_queued(),
         running: from.get_running(),
@@ -54,6 +73,23 @@
         backlog: Duration::from_micros(from.get_backlog_us()),
         mean: Duration::from_micros(from.get_mean_us()),
         ready: from.get_ready(),
+        short: room(from.get_short()),
+        long: room(from.get_long()),
+        failing: from.get_failing(),
+    }
+}
+
+fn write_room(mut to: room::Builder<'_>, room: &Room) {
+    to.set_free(room.free);
+    to.set_wait_us(room.wait.as_micros() as u64);
+    to.set_mean_us(room.mean.as_micros() as u64);
+}
+
+fn read_room(from: room::Reader<'_>) -> Room {
+    Room {
+        free: from.get_free(),
+        wait: Duration::from_micros(from.get_wait_us()),
+        mean: Duration::from_micros(from.get_mean_us()),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
 pub use door::Door;
-pub use info::{AgentInfo, Load, read_info, read_load, write_info, write_load};
+pub use info::{AgentInfo, Load, Room, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
 pub use task::{read_id, read_task, write_id, write_task};
 
