--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -8,7 +8,7 @@
     Change, Current, Effective, Exception, Field, Fleet, HISTORY, Service, Snapshot, Team, Values,
     check_name, parse,
 };
-pub use settings::{AgentSettings, Check, EntrySettings, Fault, load};
+pub use settings::{AgentSettings, Check, EntrySettings, Fault, QueueKind, load};
 
 /// What can go wrong with settings.
 #[derive(Debug, thiserror::Error)]
