--- a/crates/standin/src/backend/app.rs
+++ b/crates/standin/src/backend/app.rs
@@ -1,7 +1,7 @@
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use actix_web::{
@@ -108,10 +108,12 @@
         at_ms: now_ms(),
     };
     lock(&server.starts).begin(start);
+    let began = Instant::now();
     let fail_all = lock(&server.mode).fail_all;
-    let ran_ms = if fail_all { 0.0 } else { work.run_ms / server.speed };
-    sleep(Duration::from_secs_f64(ran_ms / 1e3)).await;
+    let run_ms = if fail_all { 0.0 } else { work.run_ms / server.speed };
+    sleep(Duration::from_secs_f64(run_ms / 1e3)).await;
     lock(&server.starts).end();
+    let ran_ms = began.elapsed().as_secs_f64() * 1e3;
     if fail_all || work.fail {
         return HttpResponse::InternalServerError().body("told to fail");
     }
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -8,3 +8,4 @@
 
 pub use app::run;
 pub use starts::Start;
+pub use work::Work;
--- /dev/null
+++ b/crates/standin/src/load/report.rs
@@ -0,0 +1,90 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    percentiles::Percentiles,
+    sample::Sample,
+    summary::Summary,
+    timeline::{Bucket, timeline},
+    workload::{Swing, Workload},
+};
+
+/// Everything measured in one run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    pub name: String,
+    pub workload: Workload,
+    pub all: Summary,
+    pub classes: BTreeMap<String, Summary>,
+    pub teams: BTreeMap<String, Summary>,
+    pub crests: Vec<Crest>,
+    /// how much later than intended this tool itself sent
+    pub lag_ms: Percentiles,
+    pub timeline: Vec<Bucket>,
+}
+
+/// One swing at its full height, and what came after.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Crest {
+    /// useful run time over what the backend servers can do
+    pub useful: f64,
+    /// answers within their deadline a second
+    pub good: f64,
+    /// from the end of the swing until every later bucket is as good as the
+    /// worst one before the swing; `None` when that was never
+    pub recovered_s: Option<f64>,
+}
+
+impl Report {
+    pub fn new(name: String, workload: Workload, samples: &[Sample]) -> Self {
+        let timeline = timeline(&workload, samples);
+        let classes = workload.classes.iter().enumerate().map(|(i, class)| {
+            let of = samples.iter().filter(|s| s.class == i);
+            (class.name.clone(), Summary::new(&workload, of))
+        });
+        let teams = workload.teams.iter().enumerate().map(|(i, team)| {
+            let of = samples.iter().filter(|s| s.team == i);
+            (team.name.clone(), Summary::new(&workload, of))
+        });
+        Self {
+            name,
+            all: Summary::new(&workload, samples.iter()),
+            classes: classes.collect(),
+            teams: teams.collect(),
+            crests: workload.swings.iter().map(|s| Crest::new(s, &workload, &timeline)).collect(),
+            lag_ms: Percentiles::new(samples.iter().map(|s| s.lag_ms)),
+            timeline,
+            workload,
+        }
+    }
+}
+
+impl Crest {
+    fn new(swing: &Swing, workload: &Workload, timeline: &[Bucket]) -> Self {
+        let crest = swing.crest();
+        let at_crest: Vec<&Bucket> = timeline.iter().filter(|b| crest.contains(&b.at)).collect();
+        let mean = |of: fn(&Bucket) -> f64| {
+            at_crest.iter().map(|b| of(b)).sum::<f64>() / at_crest.len().max(1) as f64
+        };
+        Self {
+            useful: mean(|b| b.useful),
+            good: mean(|b| b.good),
+            recovered_s: recovery(swing, workload, timeline),
+        }
+    }
+}
+
+fn recovery(swing: &Swing, workload: &Workload, timeline: &[Bucket]) -> Option<f64> {
+    let before = timeline.iter().filter(|b| b.at + super::timeline::BUCKET <= swing.at_s);
+    let (over, missed) = before
+        .fold((0.0_f64, 0.0_f64), |(over, missed), b| (over.max(b.over_p99), missed.max(b.missed)));
+    let mut after = timeline.iter().filter(|b| b.at >= swing.end() && b.at < workload.seconds);
+    let last_bad = after.clone().rfind(|b| b.over_p99 > over || b.missed > missed);
+    let last = after.next_back()?;
+    match last_bad {
+        None => Some(0.0),
+        Some(bad) if bad.at >= last.at => None,
+        Some(bad) => Some(bad.at + super::timeline::BUCKET - swing.end()),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/table.rs
@@ -0,0 +1,52 @@
+use super::{report::Report, sample::Ended, summary::Summary};
+
+const HEAD: &str = "| run | of | sent | good | not-run | failed | unknown | other | late | over ideal p50 / p99 / p99.9 | over fastest p50 / p99 | added ms p50 / p99 | refusal ms p99 |";
+const RULE: &str = "|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+/// Reports as the rows of one table.
+pub fn table(reports: &[Report]) -> String {
+    let mut lines = vec![HEAD.to_owned(), RULE.to_owned()];
+    for report in reports {
+        lines.push(row(&report.name, "all", &report.all));
+        if report.classes.len() > 1 {
+            lines.extend(report.classes.iter().map(|(name, s)| row(&report.name, name, s)));
+        }
+        if report.teams.len() > 1 {
+            let teams = report.teams.iter();
+            lines.extend(teams.map(|(name, s)| row(&report.name, &format!("team {name}"), s)));
+        }
+    }
+    for report in reports {
+        for crest in &report.crests {
+            let back = crest.recovered_s.map_or("never".to_owned(), |s| format!("after {s:.1} s"));
+            lines.push(format!(
+                "\n{}: at the crest {:.0} % of capacity useful, {:.0} good answers/s; normal again {back}",
+                report.name,
+                crest.useful * 100.0,
+                crest.good
+            ));
+        }
+    }
+    lines.join("\n")
+}
+
+fn row(run: &str, of: &str, s: &Summary) -> String {
+    let other = s.count(Ended::Refused) + s.count(Ended::Cut) + s.count(Ended::Silent);
+    format!(
+        "| {run} | {of} | {} | {} | {} | {} | {} | {other} | {} | {:.3} / {:.2} / {:.2} | {:.2} / {:.2} | {:.2} / {:.2} | {:.1} |",
+        s.sent,
+        s.good,
+        s.count(Ended::NotRun),
+        s.count(Ended::Failed),
+        s.count(Ended::Unknown),
+        s.late,
+        s.over_ideal.p50,
+        s.over_ideal.p99,
+        s.over_ideal.p999,
+        s.over_fastest.p50,
+        s.over_fastest.p99,
+        s.added_ms.p50,
+        s.added_ms.p99,
+        s.refusal_ms.p99,
+    )
+}
