--- a/crates/standin/src/load/app.rs
+++ b/crates/standin/src/load/app.rs
@@ -10,7 +10,7 @@
 use super::{
     driver::drive,
     plot::{Kind, kind, plot},
-    report::Report,
+    report::{Phases, Report},
     table::table,
     workload::Workload,
 };
@@ -37,6 +37,10 @@
         /// report to write
         #[bpaf(long, argument("FILE"))]
         out: Option<PathBuf>,
+        #[bpaf(external)]
+        changes: Changes,
+        #[bpaf(external, optional)]
+        fault: Option<Fault>,
         /// workload, as JSON
         #[bpaf(positional("WORKLOAD"))]
         workload: PathBuf,
@@ -63,12 +67,49 @@
     },
 }
 
+/// What to change of the workload as written
+#[derive(Clone, Debug, Bpaf)]
+struct Changes {
+    /// speed of a backend server; give one for each
+    #[bpaf(long, argument("FACTOR"), many)]
+    speed: Vec<f64>,
+    /// seed of the workload
+    #[bpaf(long, argument("NUMBER"))]
+    seed: Option<u64>,
+    /// time over which arrivals are spread, seconds
+    #[bpaf(long, argument("SECONDS"))]
+    seconds: Option<f64>,
+    /// one-way delay between callers and entries, milliseconds
+    #[bpaf(long, argument("MS"))]
+    delay: Option<f64>,
+    /// team whose rate is multiplied, at the same rate of the others
+    #[bpaf(long, argument("TEAM"))]
+    boost: Option<String>,
+    /// how many times
+    #[bpaf(long, argument("FACTOR"), fallback(10.0))]
+    factor: f64,
+    /// leave a class out, at the same rate of the others
+    #[bpaf(long, argument("CLASS"))]
+    without: Option<String>,
+}
+
+/// When something else makes a fault, to report before and after apart
+#[derive(Clone, Debug, Bpaf)]
+struct Fault {
+    /// time of the fault, seconds from the start of the run
+    #[bpaf(long, argument("SECONDS"))]
+    fault_at: f64,
+    /// time by which it should not be felt any more
+    #[bpaf(long, argument("SECONDS"))]
+    settled_at: f64,
+}
+
 /// Carries out one command.
 pub fn run() -> Result<()> {
     match args().run().verb {
-        Verb::Run { entry, name, out, workload } => {
-            let workload = read_workload(&workload)?;
-            let report = run_workload(name, workload, &entry)?;
+        Verb::Run { entry, name, out, changes, fault, workload } => {
+            let workload = read_workload(&workload, changes)?;
+            let report = run_workload(name, workload, fault, &entry)?;
             if let Some(out) = out {
                 fs::write(&out, serde_json::to_string(&report)?)
                     .wrap_err_with(|| format!("can't write {}", out.display()))?;
@@ -83,23 +124,47 @@
     Ok(())
 }
 
-fn run_workload(name: String, workload: Workload, entries: &[SocketAddr]) -> Result<Report> {
+fn run_workload(
+    name: String,
+    workload: Workload,
+    fault: Option<Fault>,
+    entries: &[SocketAddr],
+) -> Result<Report> {
     if let Some(address) = entries.iter().find(|a| !a.ip().is_loopback()) {
         bail!("{address} is not on loopback: this tool sends load nowhere else");
     }
     let urls = entries.iter().map(|a| format!("http://{a}")).collect();
     let samples = actix_web::rt::System::new().block_on(drive(workload.clone(), urls));
-    Ok(Report::new(name, workload, &samples))
+    let phases = fault.map(|f| Phases::new(&workload, &samples, f.fault_at, f.settled_at));
+    Ok(Report { phases, ..Report::new(name, workload, &samples) })
 }
 
-fn read_workload(path: &Path) -> Result<Workload> {
-    let workload: Workload = read(path)?;
+fn read_workload(path: &Path, changes: Changes) -> Result<Workload> {
+    let mut workload: Workload = read(path)?;
+    changes.apply(&mut workload);
     if let Some(fault) = workload.fault() {
         bail!("{}: {fault}", path.display());
     }
     Ok(workload)
 }
 
+impl Changes {
+    fn apply(self, workload: &mut Workload) {
+        if !self.speed.is_empty() {
+            workload.speeds = self.speed;
+        }
+        workload.seed = self.seed.unwrap_or(workload.seed);
+        workload.seconds = self.seconds.unwrap_or(workload.seconds);
+        workload.delay_ms = self.delay.unwrap_or(workload.delay_ms);
+        if let Some(team) = self.boost {
+            workload.boost_team(&team, self.factor);
+        }
+        if let Some(class) = self.without {
+            workload.remove_class(&class);
+        }
+    }
+}
+
 fn read_reports(paths: &[PathBuf]) -> Result<Vec<Report>> {
     paths.iter().map(|path| read(path)).collect()
 }
--- a/crates/standin/src/load/arrival.rs
+++ b/crates/standin/src/load/arrival.rs
@@ -36,14 +36,26 @@
             break;
         }
         if rng.random::<f64>() * top < workload.rate_at(at) {
-            arrivals.push(draw(workload, at, &mut rng));
+            let class = weighted(workload.classes.iter().map(|c| c.share), &mut rng);
+            arrivals.push(draw(workload, at, class, &mut rng));
         }
     }
+    add_bursts(workload, &mut arrivals, &mut rng);
     arrivals
 }
 
-fn draw(workload: &Workload, at: f64, rng: &mut StdRng) -> Arrival {
-    let class = weighted(workload.classes.iter().map(|c| c.share), rng);
+fn add_bursts(workload: &Workload, arrivals: &mut Vec<Arrival>, rng: &mut StdRng) {
+    for burst in &workload.bursts {
+        let Some(class) = workload.class(&burst.class) else { continue };
+        for i in 0..burst.count.min(MAX_ARRIVALS.saturating_sub(arrivals.len())) {
+            let at = burst.at_s + burst.over_s * i as f64 / burst.count as f64;
+            arrivals.push(draw(workload, at, class, rng));
+        }
+    }
+    arrivals.sort_by_key(|a| a.at);
+}
+
+fn draw(workload: &Workload, at: f64, class: usize, rng: &mut StdRng) -> Arrival {
     let team = weighted(workload.teams.iter().map(|t| t.share), rng);
     let kind = &workload.classes[class];
     let run_ms: Vec<f64> = (0..kind.tasks.max(1)).map(|_| run_time(kind, rng)).collect();
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -21,6 +21,6 @@
 
 pub use app::run;
 pub use arrival::{Arrival, plan};
-pub use report::Report;
+pub use report::{Phases, Report};
 pub use sample::{Ended, Sample};
-pub use workload::{Cancel, Class, Swing, Team, Workload};
+pub use workload::{Burst, Cancel, Class, Swing, Team, Workload};
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -19,11 +19,23 @@
     pub classes: BTreeMap<String, Summary>,
     pub teams: BTreeMap<String, Summary>,
     pub crests: Vec<Crest>,
+    pub phases: Option<Phases>,
     /// how much later than intended this tool itself sent
     pub lag_ms: Percentiles,
     pub timeline: Vec<Bucket>,
 }
 
+/// The run around a fault that the script made.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Phases {
+    /// sent before the fault
+    pub before: Summary,
+    /// sent within the time to settle
+    pub settling: Summary,
+    /// sent later
+    pub after: Summary,
+}
+
 /// One swing at its full height, and what came after.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Crest {
@@ -53,6 +65,7 @@
             classes: classes.collect(),
             teams: teams.collect(),
             crests: workload.swings.iter().map(|s| Crest::new(s, &workload, &timeline)).collect(),
+            phases: None,
             lag_ms: Percentiles::new(samples.iter().map(|s| s.lag_ms)),
             timeline,
             workload,
@@ -60,6 +73,21 @@
     }
 }
 
+impl Phases {
+    /// Cuts a run at the time of a fault, and again when that should be over.
+    pub fn new(workload: &Workload, samples: &[Sample], at: f64, settled: f64) -> Self {
+        let sent = |from: f64, until: f64| {
+            let within = samples.iter().filter(move |s| (from..until).contains(&s.at));
+            Summary::new(workload, within)
+        };
+        Self {
+            before: sent(0.0, at),
+            settling: sent(at, settled),
+            after: sent(settled, f64::INFINITY),
+        }
+    }
+}
+
 impl Crest {
     fn new(swing: &Swing, workload: &Workload, timeline: &[Bucket]) -> Self {
         let crest = swing.crest();
--- a/crates/standin/src/load/summary.rs
+++ b/crates/standin/src/load/summary.rs
@@ -39,7 +39,7 @@
         let samples: Vec<&Sample> = samples.collect();
         let done = || samples.iter().filter(|s| s.ended == Ended::Done && !s.cancelled);
         let refused = || samples.iter().filter(|s| s.ended == Ended::NotRun && !s.cancelled);
-        let (slots, delay) = (workload.slots, workload.delay_ms);
+        let (slots, delay) = (workload.slots(), workload.delay_ms);
         let answered = samples.iter().filter(|s| s.ended != Ended::Silent);
         Self {
             sent: samples.len(),
@@ -50,7 +50,7 @@
             response_ms: Percentiles::new(done().map(|s| s.response_ms)),
             over_ideal: Percentiles::new(done().map(|s| s.response_ms / s.ideal_ms(slots, delay))),
             over_fastest: Percentiles::new(
-                done().map(|s| s.response_ms / s.fastest_ms(slots, delay, workload.top_speed)),
+                done().map(|s| s.response_ms / s.fastest_ms(slots, delay, workload.top_speed())),
             ),
             added_ms: Percentiles::new(done().map(|s| s.response_ms - s.ideal_ms(slots, delay))),
             refusal_ms: Percentiles::new(refused().map(|s| s.response_ms)),
--- a/crates/standin/src/load/table.rs
+++ b/crates/standin/src/load/table.rs
@@ -15,6 +15,11 @@
             let teams = report.teams.iter();
             lines.extend(teams.map(|(name, s)| row(&report.name, &format!("team {name}"), s)));
         }
+        if let Some(phases) = &report.phases {
+            lines.push(row(&report.name, "before the fault", &phases.before));
+            lines.push(row(&report.name, "settling", &phases.settling));
+            lines.push(row(&report.name, "after", &phases.after));
+        }
     }
     for report in reports {
         for crest in &report.crests {
--- a/crates/standin/src/load/timeline.rs
+++ b/crates/standin/src/load/timeline.rs
@@ -41,7 +41,7 @@
         buckets[from].offered += 1.0 / BUCKET;
         if s.is_good() {
             buckets[until].good += 1.0 / BUCKET;
-            over[from].push(s.response_ms / s.ideal_ms(workload.slots, workload.delay_ms));
+            over[from].push(s.response_ms / s.ideal_ms(workload.slots(), workload.delay_ms));
             spread(workload, s, &mut buckets);
         } else if s.ended == super::sample::Ended::NotRun {
             buckets[until].refused += 1.0 / BUCKET;
@@ -61,7 +61,7 @@
 
 /// Shares the run time of a good answer out over the buckets it ran in.
 fn spread(workload: &Workload, s: &Sample, buckets: &mut [Bucket]) {
-    let capacity = workload.slots as f64 * workload.mean_speed * BUCKET * 1e3;
+    let capacity = workload.capacity_ms() * BUCKET;
     let end = s.at + (s.response_ms - workload.delay_ms) / 1e3;
     let start = end - s.ran_ms / 1e3;
     let (first, last) = (index(start, buckets.len()), index(end, buckets.len()));
--- a/crates/standin/src/load/workload.rs
+++ b/crates/standin/src/load/workload.rs
@@ -13,20 +13,21 @@
     pub seed: u64,
     /// time over which arrivals are spread
     pub seconds: f64,
-    /// base arrivals a second, over all classes
-    pub rate: f64,
+    /// base load, as a share of what the backend servers can do
+    pub load: f64,
+    /// base arrivals a second over all classes, in place of `load`
+    pub rate: Option<f64>,
     pub swings: Vec<Swing>,
     pub classes: Vec<Class>,
     pub teams: Vec<Team>,
+    pub bursts: Vec<Burst>,
     pub cancel: Option<Cancel>,
     /// one-way delay between callers and entries, added on both ways by this tool
     pub delay_ms: f64,
-    /// slots of all backend servers together
-    pub slots: usize,
-    /// speed of the fastest backend server
-    pub top_speed: f64,
-    /// mean speed of the backend servers
-    pub mean_speed: f64,
+    /// slots of each backend server
+    pub slots_each: usize,
+    /// speed of each backend server
+    pub speeds: Vec<f64>,
 }
 
 /// A rise of the rate to a crest, and back.
@@ -73,7 +74,17 @@
     pub share: f64,
 }
 
-/// A wave of cancellations: that many of the newest keyed requests, in a second.
+/// Arrivals of one class beside all others, spread evenly.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    pub class: String,
+    pub at_s: f64,
+    pub over_s: f64,
+    pub count: usize,
+}
+
+/// Cancels every request of a class.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cancel {
@@ -88,25 +99,76 @@
         if !(self.seconds > 0.0 && self.seconds <= MAX_SECONDS) {
             return Some(format!("seconds must be in 0 to {MAX_SECONDS}"));
         }
-        if !(self.rate > 0.0 && self.rate.is_finite()) {
-            return Some("rate must be above 0".to_owned());
+        if self.speeds.is_empty() || self.speeds.iter().any(|s| *s <= 0.0) {
+            return Some("speeds must name at least one, all above 0".to_owned());
         }
         if self.classes.is_empty() || self.teams.is_empty() {
             return Some("name at least one class and one team".to_owned());
         }
+        if let Some(burst) = self.bursts.iter().find(|b| self.class(&b.class).is_none()) {
+            return Some(format!("bursts: there is no class {}", burst.class));
+        }
         let bad = self.classes.iter().find(|c| !(c.min_ms >= 0.0 && c.max_ms >= c.min_ms));
-        bad.map(|c| format!("class {}: min_ms to max_ms must be a range", c.name))
+        if let Some(class) = bad {
+            return Some(format!("class {}: min_ms to max_ms must be a range", class.name));
+        }
+        let rate = self.base_rate();
+        (!rate.is_finite() || rate <= 0.0).then(|| format!("a rate of {rate} can't be sent"))
+    }
+
+    /// Place of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| c.name == name)
+    }
+
+    /// Slots of all backend servers.
+    pub fn slots(&self) -> usize {
+        self.slots_each * self.speeds.len()
+    }
+
+    /// Run time at speed 1 that all backend servers can do in a second, milliseconds.
+    pub fn capacity_ms(&self) -> f64 {
+        self.slots_each as f64 * self.speeds.iter().sum::<f64>() * 1e3
+    }
+
+    pub fn top_speed(&self) -> f64 {
+        self.speeds.iter().copied().fold(0.0, f64::max)
+    }
+
+    /// Leaves a class out, and keeps the rate of the others.
+    pub fn remove_class(&mut self, name: &str) {
+        let shares = |classes: &[Class]| classes.iter().map(|c| c.share).sum::<f64>();
+        let rate = self.base_rate() / shares(&self.classes);
+        self.classes.retain(|c| c.name != name);
+        self.rate = Some(rate * shares(&self.classes));
+    }
+
+    /// Multiplies the rate of a team, and keeps the rate of the others.
+    pub fn boost_team(&mut self, name: &str, factor: f64) {
+        let shares = |teams: &[Team]| teams.iter().map(|t| t.share).sum::<f64>();
+        let rate = self.base_rate() / shares(&self.teams);
+        for team in self.teams.iter_mut().filter(|t| t.name == name) {
+            team.share *= factor;
+        }
+        self.rate = Some(rate * shares(&self.teams));
+    }
+
+    /// Arrivals a second outside of swings.
+    pub fn base_rate(&self) -> f64 {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        let work: f64 = self.classes.iter().map(|c| c.share * c.work_ms()).sum();
+        self.rate.unwrap_or(self.load * self.capacity_ms() * shares / work)
     }
 
     /// Arrivals a second at a time of the run.
     pub fn rate_at(&self, at: f64) -> f64 {
         let factor = self.swings.iter().map(|s| s.factor_at(at)).fold(1.0, f64::max);
-        self.rate * factor
+        self.base_rate() * factor
     }
 
     /// Highest rate of the whole run.
     pub fn top_rate(&self) -> f64 {
-        self.rate * self.swings.iter().map(|s| s.factor).fold(1.0, f64::max)
+        self.base_rate() * self.swings.iter().map(|s| s.factor).fold(1.0, f64::max)
     }
 }
 
@@ -136,8 +198,12 @@
 }
 
 impl Class {
-    /// Mean run time at speed 1, milliseconds.
-    pub fn mean_ms(&self) -> f64 {
+    /// Mean run time at speed 1 of all tasks of one arrival, milliseconds.
+    pub fn work_ms(&self) -> f64 {
+        self.mean_ms() * self.tasks.max(1) as f64
+    }
+
+    fn mean_ms(&self) -> f64 {
         let spread = (self.max_ms / self.min_ms.max(1e-9)).ln();
         let drawn = if self.min_ms <= 0.0 || spread < 1e-9 {
             (self.min_ms + self.max_ms) / 2.0
@@ -154,15 +220,16 @@
             service: "ledger".to_owned(),
             seed: 1,
             seconds: 10.0,
-            rate: 100.0,
+            load: 0.5,
+            rate: None,
             swings: Vec::new(),
             classes: vec![Class::default()],
             teams: vec![Team { name: "coop".to_owned(), share: 1.0 }],
+            bursts: Vec::new(),
             cancel: None,
             delay_ms: 0.0,
-            slots: 88,
-            top_speed: 1.0,
-            mean_speed: 1.0,
+            slots_each: 8,
+            speeds: vec![1.0],
         }
     }
 }
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -26,7 +26,7 @@
 fn check_swing(factor: f64) {
     let swing = Swing { at_s: 10.0, rise_s: 1.0, hold_s: 10.0, factor };
     let workload =
-        Workload { seconds: 40.0, rate: 200.0, swings: vec![swing], ..Workload::default() };
+        Workload { seconds: 40.0, rate: Some(200.0), swings: vec![swing], ..Workload::default() };
     let arrivals = plan(&workload);
     let within = |from: f64, to: f64| {
         let at = arrivals.iter().map(|a| a.at.as_secs_f64());
