Answers of backend servers cut short are seen as such

Ruled out: the stand-in (the response head stated 1,024), the entry (it passes on what the agent gives). Change: the agent calls its backend server with hyper-util, awc's nearest kin, which reports both. A length check over awc would have left chunked answers. Keys and operations must be printable ASCII, since they travel in headers. Before: cut answers `done`.

--- a/crates/agent/src/run/backend.rs
+++ b/crates/agent/src/run/backend.rs
@@ -1,15 +1,21 @@
 use std::time::{Duration, Instant};
 
-use awc::{
-    Client, Connector,
-    error::{ConnectError, SendRequestError},
-};
 use base::{Answer, Name, Task};
 use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, body::Incoming};
+use hyper_util::{
+    client::legacy::{Client, Error, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use tokio::time::timeout;
 
 /// Longest run of one task before its answer is given up.
 const RUN_LIMIT: Duration = Duration::from_secs(120);
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Shorter than backend servers keep an idle connection, so that no request
+/// meets one that is just being closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Largest answer taken from a backend server, bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -17,14 +23,19 @@
 /// Calls to the backend server of this agent.
 #[derive(Clone)]
 pub struct Backend {
-    client: Client,
+    client: Client<HttpConnector, Full<Bytes>>,
     agent: Name,
 }
 
 impl Backend {
     pub fn new(connections: u32, agent: Name) -> Self {
-        let connector = Connector::new().limit(connections as usize).timeout(CONNECT_LIMIT);
-        let client = Client::builder().connector(connector).timeout(RUN_LIMIT).finish();
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(connections as usize)
+            .pool_idle_timeout(IDLE_LIMIT)
+            .build(connector);
         Self { client, agent }
     }
 
@@ -32,47 +43,65 @@
     /// was sent to the backend server.
     pub async fn run(self, url: String, task: Task) -> Answer {
         let start = Instant::now();
-        let req = self
-            .client
-            .post(url)
-            .insert_header(("content-type", "application/json"))
-            .insert_header(("idempotency-key", &*task.id.key))
-            .insert_header(("egret-team", &*task.id.team))
-            .insert_header(("egret-index", task.id.index.to_string()))
-            .insert_header(("egret-operation", &*task.operation));
-        let mut res = match req.send_body(task.body).await {
+        let req = match request(&url, task) {
+            Ok(req) => req,
+            Err(e) => return Answer::not_run(&format!("no request can be made: {e}"), RETRY_AFTER),
+        };
+        match timeout(RUN_LIMIT, self.call(req, start)).await {
+            Ok(answer) => answer,
+            Err(_) => self.unknown("backend server gave no answer in time", start),
+        }
+    }
+
+    async fn call(&self, req: Request<Full<Bytes>>, start: Instant) -> Answer {
+        let res = match self.client.request(req).await {
             Ok(res) => res,
-            Err(e) => return self.unsent(&e, start),
+            Err(e) => return self.unanswered(&e, start),
         };
-        let body = match res.body().limit(MAX_ANSWER_BYTES).await {
+        let status = res.status();
+        let body = match whole_body(res).await {
             Ok(body) => body,
             Err(e) => {
                 let reason = format!("answer of the backend server was cut short: {e}");
                 return self.failed(&reason, Bytes::new(), start);
             }
         };
-        if res.status().is_success() {
-            return Answer::done(body, start.elapsed(), self.agent);
+        if status.is_success() {
+            return Answer::done(body, start.elapsed(), self.agent.clone());
         }
-        let reason = format!("backend server answered {}", res.status());
-        self.failed(&reason, body, start)
+        self.failed(&format!("backend server answered {status}"), body, start)
     }
 
-    fn unsent(self, error: &SendRequestError, start: Instant) -> Answer {
-        match error {
-            SendRequestError::Url(_)
-            | SendRequestError::Connect(
-                ConnectError::Io(_) | ConnectError::Timeout | ConnectError::Resolver(_),
-            ) => Answer::not_run("backend server can't be reached", RETRY_AFTER),
-            _ => Answer {
-                ran: start.elapsed(),
-                agent: self.agent,
-                ..Answer::unknown(&format!("backend server gave no answer: {error}"))
-            },
+    fn unanswered(&self, error: &Error, start: Instant) -> Answer {
+        if error.is_connect() {
+            return Answer::not_run("backend server can't be reached", RETRY_AFTER);
         }
+        self.unknown(&format!("backend server gave no answer: {error}"), start)
     }
 
-    fn failed(self, reason: &str, body: Bytes, start: Instant) -> Answer {
-        Answer::failed(reason, body, start.elapsed(), self.agent)
+    fn unknown(&self, reason: &str, start: Instant) -> Answer {
+        Answer { ran: start.elapsed(), agent: self.agent.clone(), ..Answer::unknown(reason) }
     }
+
+    fn failed(&self, reason: &str, body: Bytes, start: Instant) -> Answer {
+        Answer::failed(reason, body, start.elapsed(), self.agent.clone())
+    }
+}
+
+fn request(url: &str, task: Task) -> hyper::http::Result<Request<Full<Bytes>>> {
+    Request::post(url)
+        .header("content-type", "application/json")
+        .header("idempotency-key", &*task.id.key)
+        .header("egret-team", &*task.id.team)
+        .header("egret-index", task.id.index.to_string())
+        .header("egret-operation", &*task.operation)
+        .body(Full::new(task.body))
+}
+
+/// The body, or an error when it ends before its stated length or last chunk.
+async fn whole_body(
+    res: Response<Incoming>,
+) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect().await?;
+    Ok(body.to_bytes())
 }
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -48,8 +48,9 @@
         repeatable: job.repeatable,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
-    let runs = (0..).zip(job.tasks).map(|(i, task)| dispatcher.run(terms.task(i, task)));
-    let answers = try_join_all(runs).await?;
+    let tasks = (0..).zip(job.tasks).map(|(i, task)| terms.task(i, task));
+    let tasks = tasks.collect::<Result<Vec<_>>>()?;
+    let answers = try_join_all(tasks.into_iter().map(|t| dispatcher.run(t))).await?;
     invariant!(answers.len() == count, "{} answers to {count} tasks", answers.len());
     let whole = sum_up(&answers);
     let mut body = AnswerBody::new(&terms.key, &whole);
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -46,6 +46,6 @@
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
-    let answer = dispatcher.run(terms.task(0, task)).await?;
+    let answer = dispatcher.run(terms.task(0, task)?).await?;
     Ok(respond(&answer, &AnswerBody::new(&terms.key, &answer)))
 }
--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -70,9 +70,15 @@
     }
 
     /// The task at a place of the submission.
-    pub fn task(&self, index: u32, task: TaskBody) -> Task {
+    ///
+    /// # Errors
+    /// When its operation can't go into a header.
+    pub fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
+        if !is_plain(&task.operation) {
+            return bad_field("operation", "must be 1 to 128 printable ASCII characters");
+        }
         let body = Bytes::from(Box::<str>::from(task.body).into_string());
-        Task {
+        Ok(Task {
             id: TaskId::new(self.team.clone(), self.key.clone(), index),
             service: self.service.clone(),
             digest: Digest::new(&task.operation, &body),
@@ -84,7 +90,7 @@
             declared: task.size_ms.map(Duration::from_millis),
             offer: 0,
             body,
-        }
+        })
     }
 }
 
@@ -107,7 +113,9 @@
     let key = header.or(in_body);
     match &key {
         Some(key) if key.is_empty() => bad_field("key", "is empty: leave it out or fill it"),
-        Some(key) if key.len() > MAX_KEY_BYTES => bad_field("key", "is longer than 128 bytes"),
+        Some(key) if !is_plain(key) => {
+            bad_field("key", "must be 1 to 128 printable ASCII characters")
+        }
         _ => Ok(key),
     }
 }
@@ -123,6 +131,11 @@
     Ok(deadline)
 }
 
+/// Whether a text can be a header's value as it is.
+fn is_plain(text: &str) -> bool {
+    (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| (b' '..=b'~').contains(&b))
+}
+
 /// Unix milliseconds at which a UUIDv7 key was made.
 fn issue_time(key: &str) -> Option<u64> {
     let uuid = Uuid::parse_str(key).ok()?;
--- a/crates/proof/tests/whole_path.rs
+++ b/crates/proof/tests/whole_path.rs
@@ -48,6 +48,8 @@
             ("request", json!({"team": "coop"}), 400, "malformed"),
             ("request", json!({"team": "nobody", "body": {}}), 403, "unknown-team"),
             ("request", json!({"team": "coop", "deadline_ms": 0, "body": {}}), 400, "deadline-passed"),
+            ("request", json!({"team": "coop", "key": "cañal", "body": {}}), 400, "bad-field"),
+            ("request", json!({"team": "coop", "operation": "a\nb", "body": {}}), 400, "bad-field"),
             ("job", json!({"team": "coop", "tasks": vec![task; 751]}), 422, "task-count"),
         ];
         for (kind, body, status, code) in cases {
--- a/crates/standin/src/backend/app.rs
+++ b/crates/standin/src/backend/app.rs
@@ -10,6 +10,7 @@
 };
 use base::{clock_micros, now_ms};
 use bpaf::Bpaf;
+use futures::{Stream, StreamExt, stream};
 use serde::Serialize;
 use tokio::time::sleep;
 
@@ -22,6 +23,7 @@
 
 const MAX_BODY_BYTES: usize = 4 << 20;
 const SHUTDOWN_SECONDS: u64 = 120;
+const CUT_AFTER: Duration = Duration::from_millis(20);
 const LEAVE_POLL: Duration = Duration::from_millis(20);
 
 /// Stand-in for a backend server
@@ -126,15 +128,22 @@
     if work.cut {
         return HttpResponse::Ok().no_chunking(1 << 10).streaming(cut_body());
     }
+    if work.cut_chunks {
+        return HttpResponse::Ok().streaming(cut_body());
+    }
     let padding = "x".repeat(work.answer_bytes);
     HttpResponse::Ok().json(Result { key, index, ran_ms, padding: &padding })
 }
 
 /// A body that ends in an error before its stated length.
-fn cut_body() -> impl futures::Stream<Item = std::io::Result<Bytes>> {
-    let part = Ok(Bytes::from_static(b"{\"part\":"));
-    let cut = Err(std::io::ErrorKind::ConnectionReset.into());
-    futures::stream::iter([part, cut])
+fn cut_body() -> impl Stream<Item = std::io::Result<Bytes>> {
+    let part = stream::once(async { Ok(Bytes::from_static(b"{\"part\":")) });
+    let cut = stream::once(async {
+        // the first part has to leave before the connection goes
+        sleep(CUT_AFTER).await;
+        Err(std::io::ErrorKind::ConnectionReset.into())
+    });
+    part.chain(cut)
 }
 
 async fn starts(server: Data<Server>) -> HttpResponse {
--- a/crates/standin/src/backend/work.rs
+++ b/crates/standin/src/backend/work.rs
@@ -8,8 +8,10 @@
     pub run_ms: f64,
     /// end in an error
     pub fail: bool,
-    /// cut the answer short
+    /// cut the answer short of its stated length
     pub cut: bool,
+    /// cut a chunked answer short
+    pub cut_chunks: bool,
     /// pad the answer to this size, bytes
     pub answer_bytes: usize,
 }
