Oversized and slow bodies are refused with the JSON error of every refusal

Cause: an oversized body met actix-web's own plain-text error, and a body that never ended held its connection for ever. Change: one extractor limits size and time and converts the error.

--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -1,5 +1,3 @@
-use std::fmt;
-
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use serde::Serialize;
 
@@ -8,8 +6,10 @@
 pub enum Error {
     #[error("the body can't be read: {0}")]
     Malformed(String),
-    #[error("the body is too large: {0}")]
-    TooLarge(String),
+    #[error("the body is too large: send less, or split a job")]
+    TooLarge,
+    #[error("the body came too slowly: send it within 10 s")]
+    SlowBody,
     #[error("there is no service {0}; ask the operator which services there are")]
     UnknownService(String),
     #[error("team {0} may not call this service; ask the operator to add it")]
@@ -44,7 +44,8 @@
     fn code(&self) -> &'static str {
         match self {
             Error::Malformed(_) => "malformed",
-            Error::TooLarge(_) => "too-large",
+            Error::TooLarge => "too-large",
+            Error::SlowBody => "slow-body",
             Error::UnknownService(_) => "unknown-service",
             Error::UnknownTeam(_) => "unknown-team",
             Error::DeadlinePassed => "deadline-passed",
@@ -61,7 +62,8 @@
             Error::Malformed(_) | Error::DeadlinePassed | Error::Field { .. } => {
                 StatusCode::BAD_REQUEST
             }
-            Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Error::UnknownService(_) => StatusCode::NOT_FOUND,
             Error::UnknownTeam(_) => StatusCode::FORBIDDEN,
             Error::TaskCount(_) => StatusCode::UNPROCESSABLE_ENTITY,
@@ -75,15 +77,6 @@
     }
 }
 
-impl From<actix_web::error::PayloadError> for Error {
-    fn from(e: actix_web::error::PayloadError) -> Self {
-        match e {
-            actix_web::error::PayloadError::Overflow => Error::TooLarge(e.to_string()),
-            e => Error::Malformed(e.to_string()),
-        }
-    }
-}
-
 impl From<serde_json::Error> for Error {
     fn from(e: serde_json::Error) -> Self {
         Error::Malformed(e.to_string())
@@ -94,9 +87,3 @@
 pub fn bad_field<T>(field: &'static str, why: &'static str) -> Result<T> {
     Err(Error::Field { field, why })
 }
-
-impl fmt::Display for Detail<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.code, self.message)
-    }
-}
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -10,6 +10,7 @@
 
 use super::{
     answer::{AnswerBody, Content, respond},
+    body::Body,
     error::{Error, MAX_TASKS, Result},
     submit::{Asked, TaskBody, Terms, parse},
 };
@@ -33,9 +34,9 @@
     dispatcher: Data<Dispatcher>,
     service: Path<String>,
     http: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse> {
-    let job: JobBody = parse(&body)?;
+    let job: JobBody = parse(&body.0)?;
     let count = job.tasks.len();
     if count == 0 || count > MAX_TASKS {
         return Err(Error::TaskCount(count));
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' interface over HTTP with JSON.
 
 mod answer;
+mod body;
 mod error;
 mod health;
 mod job;
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -1,6 +1,6 @@
 use actix_web::{
     HttpRequest, HttpResponse,
-    web::{Bytes, Data, Path},
+    web::{Data, Path},
 };
 use base::Name;
 use serde::Deserialize;
@@ -8,6 +8,7 @@
 
 use super::{
     answer::{AnswerBody, respond},
+    body::Body,
     error::Result,
     submit::{Asked, TaskBody, Terms, default_operation, parse},
 };
@@ -34,9 +35,9 @@
     dispatcher: Data<Dispatcher>,
     service: Path<String>,
     http: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse> {
-    let req: RequestBody = parse(&body)?;
+    let req: RequestBody = parse(&body.0)?;
     let asked = Asked {
         team: req.team,
         key: req.key,
--- a/crates/proof/tests/whole_path.rs
+++ b/crates/proof/tests/whole_path.rs
@@ -50,6 +50,7 @@
             ("request", json!({"team": "coop", "deadline_ms": 0, "body": {}}), 400, "deadline-passed"),
             ("request", json!({"team": "coop", "key": "cañal", "body": {}}), 400, "bad-field"),
             ("request", json!({"team": "coop", "operation": "a\nb", "body": {}}), 400, "bad-field"),
+            ("request", json!({"team": "coop", "body": "x".repeat(2 << 20)}), 413, "too-large"),
             ("job", json!({"team": "coop", "tasks": vec![task; 751]}), 422, "task-count"),
         ];
         for (kind, body, status, code) in cases {
