Process tests take ports below the range of outgoing connections

Cause: free_port took a port from the range that the kernel also gives to outgoing connections; with tests side by side the port was often taken again before the program bound it, and a process never became ready (2 of 6 runs of the new configuration tests). Ruled out: slow start under load (the process had exited at once). Change: ports 10000 to 31999, each test program starting at a place of its own.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -2,7 +2,8 @@
     env,
     net::TcpListener,
     path::PathBuf,
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{self, Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use nix::{
@@ -10,6 +11,11 @@
     unistd::Pid,
 };
 
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 22_000;
+/// Distance between the first ports of two test programs.
+const STRIDE: u32 = 1009;
+
 /// A process started by a test; killed when dropped.
 pub struct Process {
     child: Child,
@@ -50,13 +56,21 @@
     }
 }
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago. It lies below the range from which the
+/// machine takes ports for connections, and test programs start far apart.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound").port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = process::id().wrapping_mul(STRIDE);
+    loop {
+        let place = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (place % PORTS) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
-fn program_path(program: &str) -> PathBuf {
+pub(crate) fn program_path(program: &str) -> PathBuf {
     let mut path = env::current_exe().expect("the test knows where it is");
     path.pop();
     path.pop();
