--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -1,8 +1,8 @@
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix::{Actor, Addr};
 use base::{Event, clock_micros};
-use conf::AgentSettings;
+use conf::{AgentSettings, Current};
 use log::LevelFilter;
 use tokio::{
     net::TcpListener,
@@ -39,13 +39,14 @@
     let listener = listen(settings.rpc).await?;
     let runner = Runner::new(&settings).start();
     let identity = Identity::new(&settings, clock_micros());
-    let greeter = Greeter::new(&settings, identity, runner.clone());
+    let fleet: Arc<Current> = Arc::default();
+    let greeter = Greeter::new(&settings, identity, runner.clone(), fleet.clone());
 
     let rpc = AgentRpc::new(runner.clone(), greeter.clone());
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     let gate = capnp_rpc::new_client(door);
     actix::spawn(wire::serve(listener, gate));
-    let server = http::start(settings.http, runner.clone())?;
+    let server = http::start(&settings, runner.clone(), fleet)?;
     greeter.start();
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
 
--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -1,14 +1,24 @@
-use std::{cell::RefCell, collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashSet,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Addr;
 use base::{Event, Name, Token};
-use conf::AgentSettings;
+use conf::{AgentSettings, Current, Snapshot};
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
-use wire::{AgentInfo, Link, dial, write_info};
+use wire::{AgentInfo, Link, Load, dial, write_info};
 
 use crate::run::{Inspect, Runner};
 
+/// An entry learnt from another one and unheard for this long is forgotten.
+const FORGET: Duration = Duration::from_secs(300);
+
 /// Who this agent is, as long as the process runs.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -44,17 +54,27 @@
     token: Token,
     beat: Duration,
     runner: Addr<Runner>,
+    fleet: Arc<Current>,
+    /// named in the settings, greeted for as long as the process runs
+    named: Vec<SocketAddr>,
     known: RefCell<HashSet<SocketAddr>>,
     links: RefCell<Vec<Rc<Link>>>,
 }
 
 impl Greeter {
-    pub fn new(settings: &AgentSettings, identity: Identity, runner: Addr<Runner>) -> Self {
+    pub fn new(
+        settings: &AgentSettings,
+        identity: Identity,
+        runner: Addr<Runner>,
+        fleet: Arc<Current>,
+    ) -> Self {
         let state = State {
             identity,
             token: settings.token.clone(),
             beat: Duration::from_millis(settings.beat_ms),
             runner,
+            fleet,
+            named: settings.entries.clone(),
             known: RefCell::new(settings.entries.iter().copied().collect()),
             links: RefCell::default(),
         };
@@ -76,19 +96,27 @@
     }
 
     async fn keep_greeting(self, entry: SocketAddr) {
-        loop {
+        let mut heard = Instant::now();
+        while self.is_named(entry) || heard.elapsed() < FORGET {
             if let Ok(link) = dial(entry, &self.state.token).await {
                 self.stay(Rc::new(link)).await;
+                heard = Instant::now();
             }
             sleep(self.state.beat).await;
         }
+        self.state.known.borrow_mut().remove(&entry);
+    }
+
+    fn is_named(&self, entry: SocketAddr) -> bool {
+        self.state.named.contains(&entry)
     }
 
     /// Greets over one link for as long as it lasts.
     async fn stay(&self, link: Rc<Link>) {
         self.state.links.borrow_mut().push(link.clone());
+        let mut told = 0;
         while !link.is_down() {
-            if let Err(e) = self.greet(&link).await {
+            if let Err(e) = self.greet_and_teach(&link, &mut told).await {
                 Event::LinkLost.log(format_args!("entry {}: {e}", link.address()));
                 break;
             }
@@ -97,10 +125,50 @@
         self.state.links.borrow_mut().retain(|l| !Rc::ptr_eq(l, &link));
     }
 
-    async fn greet(&self, link: &Link) -> wire::Result<()> {
+    /// Greets, and sends the configuration once to an entry that is behind.
+    async fn greet_and_teach(&self, link: &Link, told: &mut u64) -> wire::Result<()> {
+        let theirs = self.greet(link).await?;
+        let snapshot = self.state.fleet.get();
+        if theirs >= snapshot.version || *told >= snapshot.version {
+            return Ok(());
+        }
+        *told = snapshot.version;
+        self.send_greeting(link, &snapshot, Some(&snapshot.text)).await.map(drop)
+    }
+
+    /// Greets, and gives the version of the configuration at the entry.
+    async fn greet(&self, link: &Link) -> wire::Result<u64> {
+        let snapshot = self.state.fleet.get();
+        self.send_greeting(link, &snapshot, None).await
+    }
+
+    async fn send_greeting(
+        &self,
+        link: &Link,
+        snapshot: &Snapshot,
+        document: Option<&str>,
+    ) -> wire::Result<u64> {
         let load = self.state.runner.send(Inspect).await.unwrap_or_default();
+        let mut req = link.entry()?.greet_request();
+        write_info(req.get().init_info(), &self.info(load, snapshot.version));
+        if let Some(document) = document {
+            req.get().set_document(document);
+        }
+        let res = req.send().promise.await?;
+        let res = res.get()?;
+        if res.has_document() {
+            let text = res.get_document()?.to_str().unwrap_or_default();
+            self.state.fleet.offer(res.get_version(), text);
+        }
+        for entry in res.get_entries()?.iter() {
+            self.learn(entry?.to_str().unwrap_or_default());
+        }
+        Ok(res.get_version())
+    }
+
+    fn info(&self, load: Load, version: u64) -> AgentInfo {
         let id = &self.state.identity;
-        let info = AgentInfo {
+        AgentInfo {
             name: id.name.clone(),
             incarnation: id.incarnation,
             address: id.address,
@@ -108,16 +176,9 @@
             rack: id.rack.clone(),
             service: id.service.clone(),
             load,
-            version: 0,
+            version,
             epoch: 0,
-        };
-        let mut req = link.entry()?.greet_request();
-        write_info(req.get().init_info(), &info);
-        let res = req.send().promise.await?;
-        for entry in res.get()?.get_entries()?.iter() {
-            self.learn(entry?.to_str().unwrap_or_default());
         }
-        Ok(())
     }
 
     fn learn(&self, entry: &str) {
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::sync::Arc;
 
 use actix::Addr;
 use actix_web::{
@@ -6,21 +6,34 @@
     dev::ServerHandle,
     web::{Data, Json, get, post},
 };
+use conf::{AgentSettings, Current};
 
 use crate::{
     Error, Result,
+    metrics::{self, Labels},
     run::{Announce, Inspect, Leave, Runner},
 };
 
 /// Starts the HTTP side: announcements of the backend server, health, metrics.
-pub fn start(address: SocketAddr, runner: Addr<Runner>) -> Result<ServerHandle> {
+pub fn start(
+    settings: &AgentSettings,
+    runner: Addr<Runner>,
+    fleet: Arc<Current>,
+) -> Result<ServerHandle> {
+    let address = settings.http;
+    let labels =
+        Data::new(Labels { name: settings.name.clone(), service: settings.service.clone() });
+    let fleet = Data::from(fleet);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(Data::new(runner.clone()))
+            .app_data(fleet.clone())
+            .app_data(labels.clone())
             .route("/announce", post().to(announce))
             .route("/leave", post().to(leave))
             .route("/healthz", get().to(healthz))
             .route("/readyz", get().to(readyz))
+            .route("/metrics", get().to(page))
     });
     let server = server
         .workers(1)
@@ -53,3 +66,15 @@
         _ => HttpResponse::ServiceUnavailable().body("takes no new work\n"),
     }
 }
+
+async fn page(
+    runner: Data<Addr<Runner>>,
+    fleet: Data<Current>,
+    labels: Data<Labels>,
+) -> HttpResponse {
+    let load = runner.send(Inspect).await.unwrap_or_default();
+    match metrics::page(&labels, &load, fleet.version()) {
+        Ok(text) => HttpResponse::Ok().content_type(metrics::CONTENT_TYPE).body(text),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/metrics.rs
@@ -0,0 +1,49 @@
+use base::Name;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use wire::Load;
+
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// What tells this agent's figures from those of others.
+#[derive(Clone, Debug)]
+pub struct Labels {
+    pub name: Name,
+    pub service: Name,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Set {
+    agent: String,
+    service: String,
+}
+
+/// The figures of this moment, as Prometheus reads them.
+///
+/// # Errors
+/// When they can't be written as text.
+pub fn page(labels: &Labels, load: &Load, version: u64) -> Result<String, std::fmt::Error> {
+    let figures = [
+        ("egret_queued", "Tasks that wait", u64::from(load.queued)),
+        ("egret_running", "Tasks that run", load.running.into()),
+        ("egret_slots", "Tasks that may run at once", load.slots.into()),
+        ("egret_ready", "Whether new work is taken", load.ready.into()),
+        ("egret_backlog_ms", "Run time waiting and left", load.backlog.as_millis() as u64),
+        ("egret_mean_run_us", "Mean observed run time", load.mean.as_micros() as u64),
+        ("egret_configuration_version", "Fleet configuration in force", version),
+        ("egret_invariants_broken", "Invariants broken since the start", base::broken_count()),
+    ];
+    let set = Set { agent: labels.name.to_string(), service: labels.service.to_string() };
+    let mut registry = Registry::default();
+    for (name, help, value) in figures {
+        let family = Family::<Set, Gauge>::default();
+        family.get_or_create(&set).set(value as i64);
+        registry.register(name, help, family);
+    }
+    let mut text = String::new();
+    encode(&mut text, &registry)?;
+    Ok(text)
+}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,5 +18,5 @@
 pub use member::Member;
 pub use outcome::{Answer, Outcome};
 pub use task::{Digest, Task};
-pub use time::{clock_micros, now_ms};
+pub use time::{Utc, clock_micros, now_ms};
 pub use token::Token;
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,8 +5,8 @@
 mod settings;
 
 pub use fleet::{
-    Change, Current, Effective, Exception, Field, Fleet, HISTORY, Service, Snapshot, Team, Values,
-    check_name, parse,
+    Change, Current, Effective, EntryRow, Exception, Field, Fleet, HISTORY, Life, Service,
+    Snapshot, Team, Values, check_name, parse,
 };
 pub use settings::{AgentSettings, Check, EntrySettings, Fault, load};
 
--- /dev/null
+++ b/crates/ctl/src/commands/defaults.rs
@@ -0,0 +1,68 @@
+use std::str::FromStr;
+
+use conf::Values;
+use plat::Version;
+
+use crate::{
+    Error, Result,
+    client::{Author, Fleet},
+};
+
+/// One value as written on the command line: `name=number`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Setting {
+    pub name: String,
+    pub value: u64,
+}
+
+impl FromStr for Setting {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Self, String> {
+        let Some((name, value)) = text.split_once('=') else {
+            return Err("write name=number, such as deadline_ms=5000".to_owned());
+        };
+        let value = value.parse().map_err(|_| match Values::field(name) {
+            Some(field) => format!("{name} is a whole number of {}", field.unit),
+            None => format!("{value} is not a whole number"),
+        })?;
+        Ok(Self { name: name.to_owned(), value })
+    }
+}
+
+/// Sets defaults of the fleet.
+pub async fn set_defaults(
+    fleet: &Fleet,
+    author: &Author,
+    settings: Vec<Setting>,
+) -> Result<Version> {
+    let summary = format!("defaults set: {}", describe(&settings));
+    let edit = |fleet: &mut conf::Fleet| {
+        settings.iter().try_for_each(|s| put(&mut fleet.defaults, &s.name, Some(s.value)))
+    };
+    fleet.change(author, &summary, edit).await
+}
+
+/// Gives defaults of the fleet back to the programs.
+pub async fn clear_defaults(fleet: &Fleet, author: &Author, names: Vec<String>) -> Result<Version> {
+    let summary = format!("defaults cleared: {}", names.join(", "));
+    let edit = |fleet: &mut conf::Fleet| {
+        names.iter().try_for_each(|name| put(&mut fleet.defaults, name, None))
+    };
+    fleet.change(author, &summary, edit).await
+}
+
+/// Sets or clears one value.
+pub fn put(values: &mut Values, name: &str, value: Option<u64>) -> Result<()> {
+    if values.set(name, value) {
+        return Ok(());
+    }
+    let names: Vec<_> = Values::FIELDS.iter().map(|f| f.name).collect();
+    Err(Error::Refused(format!("there is no value {name}; there are {}", names.join(", "))))
+}
+
+/// The settings in words.
+pub fn describe(settings: &[Setting]) -> String {
+    let all: Vec<_> = settings.iter().map(|s| format!("{}={}", s.name, s.value)).collect();
+    all.join(", ")
+}
--- /dev/null
+++ b/crates/ctl/src/commands/exception.rs
@@ -0,0 +1,62 @@
+use base::{Name, now_ms};
+use conf::{Exception, Values};
+use plat::Version;
+
+use super::defaults::{Setting, describe, put};
+use crate::{
+    Error, Result,
+    client::{Author, Fleet},
+};
+
+/// Lets a service deviate from the defaults, for a written reason.
+pub async fn add_exception(
+    fleet: &Fleet,
+    author: &Author,
+    service: &Name,
+    settings: Vec<Setting>,
+    reason: String,
+) -> Result<Version> {
+    let Some(name) = author.name.clone() else {
+        return Err(Error::Refused("an exception needs an author: give --author".to_owned()));
+    };
+    let summary = format!("exception for {service}: {}: {reason}", describe(&settings));
+    let edit = |fleet: &mut conf::Fleet| {
+        let mut values = Values::default();
+        settings.iter().try_for_each(|s| put(&mut values, &s.name, Some(s.value)))?;
+        fleet.exceptions.push(Exception {
+            service: service.clone(),
+            values,
+            reason,
+            author: name,
+            added_ms: now_ms(),
+        });
+        Ok(())
+    };
+    fleet.change(author, &summary, edit).await
+}
+
+/// Takes values of a service back to the defaults.
+pub async fn remove_exception(
+    fleet: &Fleet,
+    author: &Author,
+    service: &Name,
+    names: Vec<String>,
+) -> Result<Version> {
+    let summary = format!("exception for {service} removed: {}", names.join(", "));
+    let edit = |fleet: &mut conf::Fleet| {
+        names.iter().try_for_each(|name| remove_value(fleet, service, name))?;
+        fleet.exceptions.retain(|e| !e.values.is_empty());
+        Ok(())
+    };
+    fleet.change(author, &summary, edit).await
+}
+
+fn remove_value(fleet: &mut conf::Fleet, service: &Name, name: &str) -> Result<()> {
+    let holds = |e: &&mut Exception| {
+        e.service == *service && e.values.list().iter().any(|(field, _)| *field == name)
+    };
+    let Some(exception) = fleet.exceptions.iter_mut().find(holds) else {
+        return Err(Error::Refused(format!("{service} has no exception for {name}")));
+    };
+    put(&mut exception.values, name, None)
+}
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,7 +1,16 @@
-//! What changes something: the fleet configuration, or work sent to an entry.
+//! What changes something: the fleet configuration, an agent, or work sent to
+//! an entry.
 
+mod cancel;
+mod defaults;
+mod drain;
+mod exception;
 mod service;
 mod submit;
 
-pub use service::create_service;
-pub use submit::submit;
+pub use cancel::cancel;
+pub use defaults::{Setting, clear_defaults, set_defaults};
+pub use drain::{Turn, drain};
+pub use exception::{add_exception, remove_exception};
+pub use service::{Grant, change_service, create_service, remove_service};
+pub use submit::{Work, submit};
--- a/crates/ctl/src/queries/mod.rs
+++ b/crates/ctl/src/queries/mod.rs
@@ -1,5 +1,19 @@
-//! What only reads.
+//! What only reads. Each query gives a table for people or JSON for programs.
 
+mod agents;
+mod defaults;
+mod entries;
+mod exceptions;
+mod format;
+mod history;
 mod services;
+mod status;
 
+pub use agents::agents;
+pub use defaults::defaults;
+pub use entries::entries;
+pub use exceptions::exceptions;
+pub use format::{Format, format};
+pub use history::history;
 pub use services::services;
+pub use status::status;
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use base::Event;
+use base::{Event, clock_micros};
 use conf::EntrySettings;
 use log::LevelFilter;
 use plat::HttpPlatform;
@@ -20,8 +20,9 @@
 
 use crate::{
     Error, Result, cli,
-    fleet::{Agents, Current, Watcher},
+    fleet::{Agents, Current, Peers, Registrar, Watcher},
     http,
+    metrics::Metrics,
     rpc::EntryRpc,
 };
 
@@ -31,6 +32,9 @@
     pub settings: Arc<EntrySettings>,
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
+    /// the other entries
+    pub peers: Arc<Peers>,
+    pub metrics: Arc<Metrics>,
     /// false from the start of a graceful shutdown
     pub ready: Arc<AtomicBool>,
 }
@@ -53,6 +57,8 @@
     let shared = Shared {
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
+        peers: Arc::default(),
+        metrics: Arc::default(),
         ready: Arc::new(AtomicBool::new(true)),
         settings: Arc::new(settings),
     };
@@ -66,7 +72,10 @@
     actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
-    actix::spawn(Watcher::new(platform, shared.fleet.clone(), poll).run());
+    actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
+    let registrar =
+        Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
+    actix::spawn(registrar.run());
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,9 +1,13 @@
-//! What an entry knows: the agents that greet it, and the fleet configuration
-//! in force.
+//! What an entry knows: the agents that greet it, the other entries, and the
+//! fleet configuration in force.
 
 mod agents;
+mod peers;
+mod registrar;
 mod watcher;
 
-pub use agents::Agents;
+pub use agents::{Agents, Seen};
 pub use conf::Current;
+pub use peers::Peers;
+pub use registrar::Registrar;
 pub use watcher::Watcher;
--- /dev/null
+++ b/crates/entry/src/fleet/registrar.rs
@@ -0,0 +1,87 @@
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{Name, now_ms};
+use conf::{EntryRow, EntrySettings, Life};
+use plat::{Error, Result, Table, Version};
+use tokio::time::sleep;
+
+use super::Peers;
+
+const REFRESH: Duration = Duration::from_millis(EntryRow::REFRESH_MS);
+/// How often the other entries are read.
+const LIST: Duration = Duration::from_secs(5);
+
+/// Keeps this entry's row in the platform's table, and learns of the others.
+pub struct Registrar {
+    table: Rc<dyn Table>,
+    peers: Arc<Peers>,
+    name: Name,
+    row: EntryRow,
+    life: Life,
+    version: Version,
+    written: Option<Instant>,
+}
+
+impl Registrar {
+    pub fn new(
+        table: Rc<dyn Table>,
+        peers: Arc<Peers>,
+        settings: &EntrySettings,
+        incarnation: u64,
+    ) -> Self {
+        let row =
+            EntryRow { http: settings.http, rpc: settings.rpc, seen_ms: 0, lives: Vec::new() };
+        let life = Life { incarnation, started_ms: now_ms() };
+        Self { table, peers, name: settings.name.clone(), row, life, version: 0, written: None }
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            if self.written.is_none_or(|at| at.elapsed() >= REFRESH) && self.write().await.is_ok() {
+                self.written = Some(Instant::now());
+            }
+            // what was known stays when the platform can't be reached
+            let _ = self.list().await;
+            sleep(LIST).await;
+        }
+    }
+
+    async fn write(&mut self) -> Result<()> {
+        if self.written.is_none() {
+            self.take_over().await?;
+        }
+        self.row.seen_ms = now_ms();
+        let value =
+            serde_json::to_string(&self.row).map_err(|e| Error::Malformed(e.to_string()))?;
+        match self.table.put(&EntryRow::key(&self.name), self.version, value).await {
+            Ok(version) => self.version = version,
+            // a lost reply, or another entry of this name: the next write tries again
+            Err(Error::Conflict(row)) => self.version = row.version,
+            Err(e) => return Err(e),
+        }
+        Ok(())
+    }
+
+    /// Goes on with the row that an earlier process of this entry left.
+    async fn take_over(&mut self) -> Result<()> {
+        let row = self.table.get(&EntryRow::key(&self.name)).await?;
+        self.version = row.version;
+        if let Ok(before) = serde_json::from_str::<EntryRow>(&row.value) {
+            self.row.lives = before.lives;
+        }
+        self.row.begin(self.life.clone());
+        Ok(())
+    }
+
+    async fn list(&self) -> Result<()> {
+        let rows = self.table.list(EntryRow::PREFIX).await?;
+        let now = now_ms();
+        let rows = rows.iter().filter_map(|r| serde_json::from_str::<EntryRow>(&r.row.value).ok());
+        self.peers.replace(rows.filter(|r| r.is_live(now)).map(|r| r.rpc).collect());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/admin.rs
@@ -0,0 +1,133 @@
+use std::{sync::atomic::Ordering, time::Duration};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    web::{Data, Json, Path},
+};
+use base::Name;
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+use wire::{AgentInfo, Load, dial, read_load};
+
+use super::error::{Error, Result};
+use crate::{app::Shared, fleet::Seen};
+
+const TOKEN_HEADER: &str = "egret-token";
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
+#[derive(Serialize)]
+struct EntryBody<'a> {
+    name: &'a str,
+    centre: &'a str,
+    version: u64,
+    ready: bool,
+    agents: usize,
+}
+
+#[derive(Serialize)]
+struct AgentBody {
+    name: Name,
+    service: Name,
+    centre: Name,
+    rack: Name,
+    address: String,
+    incarnation: u64,
+    ready: bool,
+    queued: u32,
+    running: u32,
+    slots: u32,
+    version: u64,
+    epoch: u64,
+    unheard_ms: u64,
+}
+
+impl From<Seen> for AgentBody {
+    fn from(seen: Seen) -> Self {
+        let info = seen.info;
+        Self {
+            name: info.name,
+            service: info.service,
+            centre: info.centre,
+            rack: info.rack,
+            address: info.address.to_string(),
+            incarnation: info.incarnation,
+            ready: info.load.ready,
+            queued: info.load.queued,
+            running: info.load.running,
+            slots: info.load.slots,
+            version: info.version,
+            epoch: info.epoch,
+            unheard_ms: seen.at.elapsed().as_millis() as u64,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainBody {
+    on: bool,
+}
+
+#[derive(Serialize)]
+struct LoadBody {
+    ready: bool,
+    queued: u32,
+    running: u32,
+}
+
+/// How this entry stands.
+pub async fn entry(shared: Data<Shared>, http: HttpRequest) -> Result<HttpResponse> {
+    admit(&shared, &http)?;
+    Ok(HttpResponse::Ok().json(EntryBody {
+        name: &shared.settings.name,
+        centre: &shared.settings.centre,
+        version: shared.fleet.version(),
+        ready: shared.ready.load(Ordering::Acquire),
+        agents: shared.agents.all().len(),
+    }))
+}
+
+/// The agents that greet this entry.
+pub async fn agents(shared: Data<Shared>, http: HttpRequest) -> Result<HttpResponse> {
+    admit(&shared, &http)?;
+    let agents: Vec<AgentBody> = shared.agents.all().into_iter().map(AgentBody::from).collect();
+    Ok(HttpResponse::Ok().json(agents))
+}
+
+/// Switches the drain of an agent.
+pub async fn drain(
+    shared: Data<Shared>,
+    http: HttpRequest,
+    agent: Path<String>,
+    order: Json<DrainBody>,
+) -> Result<HttpResponse> {
+    admit(&shared, &http)?;
+    let seen = shared.agents.all().into_iter().find(|s| *s.info.name == **agent);
+    let Some(seen) = seen else { return Err(Error::UnknownAgent(agent.into_inner())) };
+    let ordered = timeout(DRAIN_LIMIT, tell(&shared, &seen.info, order.on)).await;
+    let load = match ordered {
+        Ok(Ok(load)) => load,
+        Ok(Err(e)) => return Err(Error::Agent(e.to_string())),
+        Err(_) => return Err(Error::Agent("no answer in time".to_owned())),
+    };
+    shared.agents.refresh(&seen.info.name, load);
+    let body = LoadBody { ready: load.ready, queued: load.queued, running: load.running };
+    Ok(HttpResponse::Ok().json(body))
+}
+
+async fn tell(shared: &Shared, agent: &AgentInfo, on: bool) -> wire::Result<Load> {
+    let link = dial(agent.address, &shared.settings.token).await?;
+    let mut req = link.agent()?.drain_request();
+    req.get().set_on(on);
+    let res = req.send().promise.await?;
+    Ok(read_load(res.get()?.get_load()?))
+}
+
+/// Lets only those in who hold the fleet token.
+fn admit(shared: &Shared, http: &HttpRequest) -> Result<()> {
+    let given = http.headers().get(TOKEN_HEADER).map_or(&b""[..], |v| v.as_bytes());
+    if shared.settings.token.matches(given) {
+        return Ok(());
+    }
+    Err(Error::WrongToken)
+}
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -8,8 +8,8 @@
 pub enum Error {
     #[error("the body can't be read: {0}")]
     Malformed(String),
-    #[error("the body is too large: {0}")]
-    TooLarge(String),
+    #[error("the body is too large: split the job, or ask the operator for more body_bytes")]
+    TooLarge,
     #[error("there is no service {0}; ask the operator which services there are")]
     UnknownService(String),
     #[error("team {0} may not call this service; ask the operator to add it")]
@@ -20,6 +20,16 @@
     TaskCount(usize),
     #[error("{field} {why}")]
     Field { field: &'static str, why: &'static str },
+    #[error("there is no {0}; docs/CALLERS.md lists what can be asked")]
+    UnknownPath(String),
+    #[error("{0} is not to be had with this method; docs/CALLERS.md lists what can be asked")]
+    WrongMethod(String),
+    #[error("the fleet token is missing or wrong: send it in the egret-token header")]
+    WrongToken,
+    #[error("no agent {0} has greeted this entry; list them with `egretctl agents`")]
+    UnknownAgent(String),
+    #[error("the agent can't be told: {0}; ask again, or through another entry")]
+    Agent(String),
     #[error(transparent)]
     Call(#[from] crate::call::Error),
 }
@@ -29,6 +39,10 @@
 /// Most tasks of one job.
 pub const MAX_TASKS: usize = 750;
 
+/// Marks a response as a refusal, for counting.
+#[derive(Clone, Copy, Debug)]
+pub struct Code(pub &'static str);
+
 #[derive(Serialize)]
 struct Body<'a> {
     error: Detail<'a>,
@@ -41,15 +55,20 @@
 }
 
 impl Error {
-    fn code(&self) -> &'static str {
+    pub fn code(&self) -> &'static str {
         match self {
             Error::Malformed(_) => "malformed",
-            Error::TooLarge(_) => "too-large",
+            Error::TooLarge => "too-large",
             Error::UnknownService(_) => "unknown-service",
             Error::UnknownTeam(_) => "unknown-team",
             Error::DeadlinePassed => "deadline-passed",
             Error::TaskCount(_) => "task-count",
             Error::Field { .. } => "bad-field",
+            Error::UnknownPath(_) => "unknown-path",
+            Error::WrongMethod(_) => "wrong-method",
+            Error::WrongToken => "wrong-token",
+            Error::UnknownAgent(_) => "unknown-agent",
+            Error::Agent(_) => "agent-unreachable",
             Error::Call(crate::call::Error::Conflict) => "key-conflict",
         }
     }
@@ -61,8 +80,13 @@
             Error::Malformed(_) | Error::DeadlinePassed | Error::Field { .. } => {
                 StatusCode::BAD_REQUEST
             }
-            Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Error::UnknownService(_) => StatusCode::NOT_FOUND,
+            Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::UnknownService(_) | Error::UnknownPath(_) | Error::UnknownAgent(_) => {
+                StatusCode::NOT_FOUND
+            }
+            Error::WrongMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Error::WrongToken => StatusCode::UNAUTHORIZED,
+            Error::Agent(_) => StatusCode::BAD_GATEWAY,
             Error::UnknownTeam(_) => StatusCode::FORBIDDEN,
             Error::TaskCount(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Error::Call(crate::call::Error::Conflict) => StatusCode::CONFLICT,
@@ -71,14 +95,16 @@
 
     fn error_response(&self) -> HttpResponse {
         let detail = Detail { code: self.code(), message: self.to_string() };
-        HttpResponse::build(self.status_code()).json(Body { error: detail })
+        let mut res = HttpResponse::build(self.status_code()).json(Body { error: detail });
+        res.extensions_mut().insert(Code(self.code()));
+        res
     }
 }
 
 impl From<actix_web::error::PayloadError> for Error {
     fn from(e: actix_web::error::PayloadError) -> Self {
         match e {
-            actix_web::error::PayloadError::Overflow => Error::TooLarge(e.to_string()),
+            actix_web::error::PayloadError::Overflow => Error::TooLarge,
             e => Error::Malformed(e.to_string()),
         }
     }
--- a/crates/entry/src/http/health.rs
+++ b/crates/entry/src/http/health.rs
@@ -2,7 +2,7 @@
 
 use actix_web::{HttpResponse, web::Data};
 
-use crate::app::Shared;
+use crate::{app::Shared, metrics::CONTENT_TYPE};
 
 pub async fn healthz() -> HttpResponse {
     HttpResponse::Ok().body("alive\n")
@@ -17,3 +17,10 @@
     }
     HttpResponse::Ok().body("ready\n")
 }
+
+pub async fn metrics(shared: Data<Shared>) -> HttpResponse {
+    match shared.metrics.page(shared.fleet.version(), shared.agents.all().len()) {
+        Ok(text) => HttpResponse::Ok().content_type(CONTENT_TYPE).body(text),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -13,7 +13,7 @@
     error::{Error, MAX_TASKS, Result},
     submit::{Asked, TaskBody, Terms, parse},
 };
-use crate::{app::Shared, call::Dispatcher};
+use crate::{app::Shared, call::Dispatcher, metrics::Kind};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -49,9 +49,12 @@
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let runs = (0..).zip(job.tasks).map(|(i, task)| dispatcher.run(terms.task(i, task)));
+    let in_flight = shared.metrics.begin(&terms.service);
     let answers = try_join_all(runs).await?;
+    drop(in_flight);
     invariant!(answers.len() == count, "{} answers to {count} tasks", answers.len());
     let whole = sum_up(&answers);
+    shared.answered(&terms, Kind::Job, whole.outcome);
     let mut body = AnswerBody::new(&terms.key, &whole);
     if whole.outcome == Outcome::Done {
         body.answers = Some(answers.iter().map(|a| Content::new(&a.body)).collect());
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -1,9 +1,11 @@
 //! The callers' interface over HTTP with JSON.
 
+mod admin;
 mod answer;
 mod error;
 mod health;
 mod job;
+mod refusal;
 mod request;
 mod server;
 mod submit;
--- /dev/null
+++ b/crates/entry/src/http/refusal.rs
@@ -0,0 +1,41 @@
+use actix_web::{
+    Error as WebError, ResponseError,
+    body::{EitherBody, MessageBody},
+    dev::{ServiceRequest, ServiceResponse},
+    http::StatusCode,
+    middleware::Next,
+    web::Data,
+};
+
+use super::error::{Code, Error};
+use crate::app::Shared;
+
+/// Gives every refusal as JSON, also those of the HTTP library, and counts it.
+pub async fn refusals<B: MessageBody>(
+    req: ServiceRequest,
+    next: Next<B>,
+) -> Result<ServiceResponse<EitherBody<B>>, WebError> {
+    let shared = req.app_data::<Data<Shared>>().cloned();
+    let asked = format!("{} {}", req.method(), req.path());
+    let res = next.call(req).await?;
+    let code = res.response().extensions().get::<Code>().map(|code| code.0);
+    let plain = code.is_none() && res.status().is_client_error();
+    let refusal = plain.then(|| from_status(res.status(), asked));
+    let code = refusal.as_ref().map(Error::code).or(code);
+    if let (Some(code), Some(shared)) = (code, shared) {
+        shared.metrics.refused(code);
+    }
+    match refusal {
+        Some(error) => Ok(res.into_response(error.error_response()).map_into_right_body()),
+        None => Ok(res.map_into_left_body()),
+    }
+}
+
+fn from_status(status: StatusCode, asked: String) -> Error {
+    match status {
+        StatusCode::NOT_FOUND => Error::UnknownPath(asked),
+        StatusCode::METHOD_NOT_ALLOWED => Error::WrongMethod(asked),
+        StatusCode::PAYLOAD_TOO_LARGE => Error::TooLarge,
+        status => Error::Malformed(status.to_string()),
+    }
+}
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -11,7 +11,7 @@
     error::Result,
     submit::{Asked, TaskBody, Terms, default_operation, parse},
 };
-use crate::{app::Shared, call::Dispatcher};
+use crate::{app::Shared, call::Dispatcher, metrics::Kind};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -46,6 +46,9 @@
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
+    let in_flight = shared.metrics.begin(&terms.service);
     let answer = dispatcher.run(terms.task(0, task)).await?;
+    drop(in_flight);
+    shared.answered(&terms, Kind::Request, answer.outcome);
     Ok(respond(&answer, &AnswerBody::new(&terms.key, &answer)))
 }
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -1,10 +1,11 @@
 use actix_web::{
     App, HttpServer,
     dev::ServerHandle,
+    middleware::from_fn,
     web::{Data, PayloadConfig, get, post},
 };
 
-use super::{health, job, request};
+use super::{admin, health, job, refusal::refusals, request};
 use crate::{Error, Result, app::Shared, call::Dispatcher};
 
 const SHUTDOWN_SECONDS: u64 = 120;
@@ -17,13 +18,18 @@
     let server = HttpServer::new(move || {
         let dispatcher = Dispatcher::new(shared.agents.clone(), shared.settings.token.clone());
         App::new()
+            .wrap(from_fn(refusals))
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
             .app_data(Data::new(shared.clone()))
             .app_data(Data::new(dispatcher))
             .route("/v1/{service}/request", post().to(request::submit))
             .route("/v1/{service}/job", post().to(job::submit))
+            .route("/admin/entry", get().to(admin::entry))
+            .route("/admin/agents", get().to(admin::agents))
+            .route("/admin/agents/{agent}/drain", post().to(admin::drain))
             .route("/healthz", get().to(health::healthz))
             .route("/readyz", get().to(health::readyz))
+            .route("/metrics", get().to(health::metrics))
     });
     let server = server
         .workers(threads)
--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -1,13 +1,13 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpRequest, web::Bytes};
-use base::{Digest, MAX_KEY_BYTES, Name, Task, TaskId};
+use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId};
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use uuid::Uuid;
 
 use super::error::{Error, Result, bad_field};
-use crate::app::Shared;
+use crate::{app::Shared, metrics::Kind};
 
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 const KEY_HEADER: &str = "idempotency-key";
@@ -19,6 +19,7 @@
     pub key: Name,
     pub keyed: bool,
     pub issued: Option<u64>,
+    pub received: Instant,
     pub deadline: Instant,
     pub repeatable: bool,
 }
@@ -55,6 +56,7 @@
         let given = given_key(http, asked.key)?;
         let default_ms = snapshot.fleet.effective(service).deadline_ms;
         let deadline = check_deadline(asked.deadline_ms.unwrap_or(default_ms))?;
+        let received = Instant::now();
         let keyed = given.is_some();
         let key = given.unwrap_or_else(|| Uuid::now_v7().to_string().into());
         let issued = asked.issued_ms.or_else(|| issue_time(&key));
@@ -64,7 +66,8 @@
             key,
             keyed,
             issued,
-            deadline: Instant::now() + deadline,
+            received,
+            deadline: received + deadline,
             repeatable: asked.repeatable,
         })
     }
@@ -88,6 +91,13 @@
     }
 }
 
+impl Shared {
+    /// Counts the final answer to a submission.
+    pub fn answered(&self, terms: &Terms, kind: Kind, outcome: Outcome) {
+        self.metrics.answered(&terms.service, kind, outcome, terms.received.elapsed());
+    }
+}
+
 /// Reads a JSON body.
 pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
     Ok(serde_json::from_slice(body)?)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod fleet;
 mod http;
+mod metrics;
 mod rpc;
 
 pub use app::run;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,153 @@
+//! What an entry counts, as Prometheus reads it.
+
+use std::{sync::atomic::AtomicU64, time::Duration};
+
+use base::Outcome;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// First bucket of the latency histogram, seconds.
+const FIRST_BUCKET: f64 = 0.001;
+const BUCKETS: u16 = 18;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByOutcome {
+    service: String,
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByService {
+    service: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByCode {
+    code: &'static str,
+}
+
+/// What a caller sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Request,
+    Job,
+}
+
+impl Kind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Kind::Request => "request",
+            Kind::Job => "job",
+        }
+    }
+}
+
+/// Counters and gauges of this entry.
+pub struct Metrics {
+    registry: Registry,
+    answers: Family<ByOutcome, Counter>,
+    latency: Family<ByService, Histogram>,
+    in_flight: Family<ByService, Gauge>,
+    refused: Family<ByCode, Counter>,
+    agents: Gauge,
+    version: Gauge<u64, AtomicU64>,
+    broken: Gauge<u64, AtomicU64>,
+}
+
+/// A submission in flight; one less when dropped.
+pub struct InFlight {
+    gauge: Gauge,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut it = Self {
+            registry: Registry::default(),
+            answers: Family::default(),
+            latency: Family::new_with_constructor(histogram),
+            in_flight: Family::default(),
+            refused: Family::default(),
+            agents: Gauge::default(),
+            version: Gauge::default(),
+            broken: Gauge::default(),
+        };
+        it.register();
+        it
+    }
+}
+
+impl Metrics {
+    /// Counts a submission in, until what is returned is dropped.
+    pub fn begin(&self, service: &str) -> InFlight {
+        let gauge = self.in_flight.get_or_create(&by_service(service)).clone();
+        gauge.inc();
+        InFlight { gauge }
+    }
+
+    /// Counts a final answer.
+    pub fn answered(&self, service: &str, kind: Kind, outcome: Outcome, took: Duration) {
+        let labels = ByOutcome {
+            service: service.to_owned(),
+            kind: kind.as_str(),
+            outcome: outcome.as_str(),
+        };
+        self.answers.get_or_create(&labels).inc();
+        self.latency.get_or_create(&by_service(service)).observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal of bad input.
+    pub fn refused(&self, code: &'static str) {
+        self.refused.get_or_create(&ByCode { code }).inc();
+    }
+
+    /// The figures of this moment.
+    ///
+    /// # Errors
+    /// When they can't be written as text.
+    pub fn page(&self, version: u64, agents: usize) -> Result<String, std::fmt::Error> {
+        self.version.set(version);
+        self.agents.set(agents as i64);
+        self.broken.set(base::broken_count());
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("egret_answers", "Final answers by outcome", self.answers.clone());
+        r.register("egret_latency_seconds", "Time to the final answer", self.latency.clone());
+        r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
+        r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
+        r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
+        let version = self.version.clone();
+        r.register("egret_configuration_version", "Fleet configuration in force", version);
+        let broken = self.broken.clone();
+        r.register("egret_invariants_broken", "Invariants broken since the start", broken);
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+}
+
+fn by_service(service: &str) -> ByService {
+    ByService { service: service.to_owned() }
+}
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -25,10 +25,24 @@
         params: GreetParams,
         mut results: GreetResults,
     ) -> Result<(), Error> {
-        let info =
-            read_info(params.get()?.get_info()?).map_err(|e| Error::failed(e.to_string()))?;
+        let params = params.get()?;
+        let info = read_info(params.get_info()?).map_err(|e| Error::failed(e.to_string()))?;
+        let theirs = info.version;
+        if params.has_document() {
+            self.shared.fleet.offer(theirs, params.get_document()?.to_str()?);
+        }
         self.shared.agents.heard(info);
-        results.get().set_version(self.shared.fleet.get().version);
+        let snapshot = self.shared.fleet.get();
+        let mut results = results.get();
+        results.set_version(snapshot.version);
+        if theirs < snapshot.version {
+            results.set_document(&*snapshot.text);
+        }
+        let entries = self.shared.peers.addresses();
+        let mut list = results.init_entries(entries.len() as u32);
+        for (i, entry) in (0..).zip(&entries) {
+            list.set(i, entry.to_string().as_str());
+        }
         Ok(())
     }
 }
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -2,8 +2,9 @@
 
 use awc::{Client, ClientResponse, http::StatusCode};
 use futures::{FutureExt, future::LocalBoxFuture};
+use serde::de::DeserializeOwned;
 
-use crate::{Error, Objects, Result, Row, Table, Version};
+use crate::{Error, Named, Objects, Result, Row, Table, Version};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_ROW_BYTES: usize = 4 << 20;
@@ -30,6 +31,15 @@
         }
     }
 
+    async fn list_rows(&self, prefix: &str) -> Result<Vec<Named>> {
+        let url = format!("{}/tables/egret?prefix={prefix}", self.url);
+        let mut res = self.client.get(url).send().await.map_err(unavailable)?;
+        match res.status() {
+            StatusCode::OK => parse(&text_of(&mut res).await?),
+            status => Err(Error::Unavailable(status.to_string())),
+        }
+    }
+
     async fn write_row(&self, key: &str, expected: Version, value: String) -> Result<Version> {
         let url = format!("{}/tables/egret/{key}", self.url);
         let req = self.client.put(url).insert_header(("if-match", expected.to_string()));
@@ -66,6 +76,10 @@
         self.read_row(key).boxed_local()
     }
 
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Named>>> {
+        self.list_rows(prefix).boxed_local()
+    }
+
     fn put<'a>(
         &'a self,
         key: &'a str,
@@ -94,8 +108,11 @@
 where
     S: futures::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
 {
-    let text = text_of(res).await?;
-    serde_json::from_str(&text).map_err(|e| Error::Malformed(e.to_string()))
+    parse(&text_of(res).await?)
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
+    serde_json::from_str(text).map_err(|e| Error::Malformed(e.to_string()))
 }
 
 async fn text_of<S>(res: &mut ClientResponse<S>) -> Result<String>
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,11 +4,13 @@
 //! the row again.
 
 mod http;
+mod settle;
 
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 
 pub use http::HttpPlatform;
+pub use settle::{Write, settle};
 
 /// What can go wrong between this process and the platform.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -19,6 +21,9 @@
     /// a read failed, or a write may or may not have taken effect
     #[error("platform can't be reached: {0}")]
     Unavailable(String),
+    /// a write may or may not have taken effect, and that couldn't be settled
+    #[error("whether the write took effect can't be told: {0}")]
+    Unclear(String),
     #[error("platform's answer can't be read: {0}")]
     Malformed(String),
 }
@@ -35,12 +40,24 @@
     pub value: String,
 }
 
+/// A row under its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Named {
+    pub key: String,
+    #[serde(flatten)]
+    pub row: Row,
+}
+
 /// Versioned rows changed by compare-and-set.
 pub trait Table {
     /// Reads a row; version 0 when there is none.
     fn get<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Row>>;
 
-    /// Writes a row if it still is at `expected`, and gives its new version.
+    /// Reads every row whose key starts with a prefix.
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Vec<Named>>>;
+
+    /// Writes a row if it still is at `expected`, and gives its new version,
+    /// which is one more.
     fn put<'a>(
         &'a self,
         key: &'a str,
--- /dev/null
+++ b/crates/plat/src/settle.rs
@@ -0,0 +1,49 @@
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use crate::{Error, Result, Row, Table, Version};
+
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// One write of a row, which its writer can tell from everyone else's.
+pub struct Write<'a> {
+    pub key: &'a str,
+    /// version the row must still be at
+    pub expected: Version,
+    pub value: String,
+    /// whether a value of the row came of this write
+    pub is_ours: &'a dyn Fn(&str) -> bool,
+}
+
+/// Writes a row by compare-and-set and settles a lost reply: reads the row
+/// back, and writes again while nobody has changed it. The same write can
+/// take effect once only, for it names the version that it replaces.
+///
+/// # Errors
+/// `Conflict` when another write won, `Unclear` when it can't be told in time.
+pub async fn settle(table: &dyn Table, write: Write<'_>, limit: Duration) -> Result<Version> {
+    let start = Instant::now();
+    loop {
+        match table.put(write.key, write.expected, write.value.clone()).await {
+            Ok(version) => return Ok(version),
+            Err(Error::Conflict(row)) => return decide(&write, row),
+            Err(e) if start.elapsed() >= limit => return Err(Error::Unclear(e.to_string())),
+            Err(_) => {}
+        }
+        if let Ok(row) = table.get(write.key).await
+            && row.version > write.expected
+        {
+            return decide(&write, row);
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// The row has moved on: by this write, or by another that won.
+fn decide(write: &Write<'_>, row: Row) -> Result<Version> {
+    if (write.is_ours)(&row.value) {
+        return Ok(write.expected + 1);
+    }
+    Err(Error::Conflict(row))
+}
--- /dev/null
+++ b/crates/plat/tests/settle.rs
@@ -0,0 +1,135 @@
+//! A write whose reply is lost, or that meets another, ends with the truth.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    time::Duration,
+};
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use plat::{Error, Named, Result, Row, Table, Version, Write, settle};
+
+/// What happens to a call.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    Down,
+    LoseReply,
+    /// the reply is lost, and another write follows
+    LoseThenOther,
+    /// another write comes first
+    OtherFirst,
+    StaleRead,
+}
+
+#[derive(Default)]
+struct Fake {
+    rows: RefCell<Vec<String>>,
+    faults: RefCell<VecDeque<Fault>>,
+    writes: Cell<u32>,
+}
+
+impl Fake {
+    fn row(&self, behind: usize) -> Row {
+        let rows = self.rows.borrow();
+        let version = rows.len().saturating_sub(behind);
+        let value = version.checked_sub(1).map(|i| rows[i].clone()).unwrap_or_default();
+        Row { version: version as Version, value }
+    }
+
+    fn write(&self, expected: Version, value: String) -> Result<Version> {
+        let row = self.row(0);
+        if row.version != expected {
+            return Err(Error::Conflict(row));
+        }
+        self.writes.set(self.writes.get() + 1);
+        self.rows.borrow_mut().push(value);
+        Ok(expected + 1)
+    }
+
+    fn next(&self) -> Fault {
+        self.faults.borrow_mut().pop_front().unwrap_or(Fault::None)
+    }
+}
+
+fn lost<T>() -> Result<T> {
+    Err(Error::Unavailable("no reply".to_owned()))
+}
+
+impl Table for Fake {
+    fn get<'a>(&'a self, _: &'a str) -> LocalBoxFuture<'a, Result<Row>> {
+        let res = match self.next() {
+            Fault::Down => lost(),
+            Fault::StaleRead => Ok(self.row(1)),
+            _ => Ok(self.row(0)),
+        };
+        async { res }.boxed_local()
+    }
+
+    fn list<'a>(&'a self, _: &'a str) -> LocalBoxFuture<'a, Result<Vec<Named>>> {
+        async { Ok(Vec::new()) }.boxed_local()
+    }
+
+    fn put<'a>(
+        &'a self,
+        _: &'a str,
+        expected: Version,
+        value: String,
+    ) -> LocalBoxFuture<'a, Result<Version>> {
+        let res = match self.next() {
+            Fault::Down => lost(),
+            Fault::LoseReply => self.write(expected, value).and_then(|_| lost()),
+            Fault::LoseThenOther => {
+                let written = self.write(expected, value.clone());
+                let next = self.write(expected + 1, format!("other after {value}"));
+                written.and(next).and_then(|_| lost())
+            }
+            Fault::OtherFirst => {
+                let other = self.write(expected, "other".to_owned());
+                other.and_then(|_| self.write(expected, value))
+            }
+            Fault::None | Fault::StaleRead => self.write(expected, value),
+        };
+        async { res }.boxed_local()
+    }
+}
+
+macro_rules! settles {
+    ($($name:ident: [$($fault:ident)*] => $expected:pat, $writes:literal)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let fake = Fake::default();
+            fake.faults.borrow_mut().extend(Vec::<Fault>::from([$(Fault::$fault),*]));
+            let write = Write {
+                key: "row",
+                expected: 0,
+                value: "mine".to_owned(),
+                is_ours: &|value| value.contains("mine"),
+            };
+            let settled = settle(&fake, write, Duration::from_secs(5)).await;
+            assert!(matches!(settled, $expected), "{settled:?}");
+            assert_eq!(fake.writes.get(), $writes);
+        })*
+    };
+}
+
+settles! {
+    plain_write: [] => Ok(1), 1
+    lost_reply_is_read_back: [LoseReply] => Ok(1), 1
+    lost_reply_and_stale_read: [LoseReply StaleRead] => Ok(1), 1
+    lost_reply_and_another_change_on_top: [LoseThenOther] => Ok(1), 2
+    lost_request_is_written_again: [Down] => Ok(1), 1
+    outage_between_write_and_read: [LoseReply Down Down Down] => Ok(1), 1
+    race_tells_what_won: [OtherFirst] => Err(Error::Conflict(Row { version: 1, .. })), 1
+    race_after_outage: [Down Down OtherFirst] => Err(Error::Conflict(Row { version: 1, .. })), 1
+}
+
+#[tokio::test]
+async fn long_outage_is_unclear() {
+    let fake = Fake::default();
+    fake.faults.borrow_mut().extend([Fault::Down; 100]);
+    let write =
+        Write { key: "row", expected: 0, value: "mine".to_owned(), is_ours: &|v| v == "mine" };
+    let settled = settle(&fake, write, Duration::ZERO).await;
+    assert!(matches!(settled, Err(Error::Unclear(_))), "{settled:?}");
+}
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -5,7 +5,10 @@
 use standin::backend::Start;
 use tokio::time::sleep;
 
-use crate::process::{Process, free_port};
+use crate::{
+    process::{Process, free_port},
+    tool::{Ran, Tool},
+};
 
 const TOKEN: &str = "proof";
 const WAIT_STEP: Duration = Duration::from_millis(50);
@@ -133,6 +136,40 @@
         }
     }
 
+    /// Starts `egretctl` against the platform and an entry.
+    pub fn start_ctl(&self, entry: usize, args: &[&str]) -> Tool {
+        let mut all = vec![
+            format!("--platform=http://127.0.0.1:{}", self.platform_port),
+            format!("--entry=http://127.0.0.1:{}", self.entry_ports[entry]),
+            format!("--token={TOKEN}"),
+        ];
+        all.extend(args.iter().map(|a| (*a).to_owned()));
+        Tool::start(&all)
+    }
+
+    /// Runs `egretctl` to its end.
+    pub fn ctl(&self, args: &[&str]) -> Ran {
+        self.start_ctl(0, args).finish()
+    }
+
+    /// Switches faults of the platform; those not named end.
+    pub async fn set_faults(&self, faults: &Value) {
+        let url = format!("http://127.0.0.1:{}/admin/faults", self.platform_port);
+        Client::default().put(url).send_json(faults).await.expect("platform takes faults");
+    }
+
+    /// Version of the configuration in force in each entry, then each agent;
+    /// none where the process doesn't answer.
+    pub async fn versions(&self) -> Vec<Option<u64>> {
+        let mut versions = Vec::new();
+        for port in self.entry_ports.iter().chain(&self.agent_ports) {
+            let url = format!("http://127.0.0.1:{port}/metrics");
+            let page = fetch_within(&url, Duration::from_millis(200)).await.unwrap_or_default();
+            versions.push(figure(&String::from_utf8_lossy(&page), "egret_configuration_version"));
+        }
+        versions
+    }
+
     /// How often each task was started, over all backend servers that answer.
     pub async fn starts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
@@ -187,8 +224,19 @@
     }
 }
 
+/// A figure of a metrics page, whatever its labels.
+fn figure(page: &str, name: &str) -> Option<u64> {
+    let line = page.lines().find(|l| l.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 async fn fetch(url: &str) -> Option<Vec<u8>> {
-    let mut res = Client::default().get(url).send().await.ok()?;
+    fetch_within(url, Duration::from_secs(5)).await
+}
+
+async fn fetch_within(url: &str, limit: Duration) -> Option<Vec<u8>> {
+    let client = Client::builder().timeout(limit).finish();
+    let mut res = client.get(url).send().await.ok()?;
     if !res.status().is_success() {
         return None;
     }
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod fleet;
 mod process;
+mod tool;
 
 pub use fleet::{Deployment, Sent};
 pub use process::{Process, free_port};
+pub use tool::{Ran, Tool};
--- /dev/null
+++ b/crates/proof/tests/config.rs
@@ -0,0 +1,191 @@
+//! An accepted configuration is in force everywhere within five seconds, and
+//! never reverts.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use proof::{Deployment, Ran};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+/// Time in which a change must be in force in every process.
+const IN_FORCE: Duration = Duration::from_secs(5);
+const LOOK: Duration = Duration::from_millis(50);
+
+macro_rules! on_loopback {
+    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
+        $(#[actix_web::test]
+        async fn $name() {
+            #[allow(unused_mut)]
+            let mut $deployment = Deployment::start($entries, $agents).await;
+            $body
+        })*
+    };
+}
+
+/// Waits until every process has a version in force; none may fall meanwhile.
+async fn check_in_force(it: &Deployment, version: u64) {
+    let start = Instant::now();
+    let mut highest = vec![None; it.versions().await.len()];
+    loop {
+        let versions = it.versions().await;
+        check_no_fall(&mut highest, &versions);
+        if versions.iter().all(|v| *v == Some(version)) {
+            return;
+        }
+        assert!(start.elapsed() < IN_FORCE, "version {version} is not in force: {versions:?}");
+        sleep(LOOK).await;
+    }
+}
+
+/// Watches for a while that no process goes back.
+async fn check_stays(it: &Deployment, version: u64, looks: u32) {
+    for _ in 0..looks {
+        let versions = it.versions().await;
+        assert!(versions.iter().all(|v| *v == Some(version)), "not all at {version}: {versions:?}");
+        sleep(LOOK).await;
+    }
+}
+
+fn check_no_fall(highest: &mut [Option<u64>], versions: &[Option<u64>]) {
+    for (highest, version) in highest.iter_mut().zip(versions) {
+        assert!(version.is_none() || version >= highest, "{highest:?} fell to {version:?}");
+        *highest = (*highest).max(*version);
+    }
+}
+
+fn check_accepted(it: &Deployment, deadline_ms: u64) -> u64 {
+    let ran = it.ctl(&["default-set", &format!("deadline_ms={deadline_ms}")]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    version_of(&ran)
+}
+
+fn version_of(ran: &Ran) -> u64 {
+    ran.out.trim().rsplit(' ').next().and_then(|v| v.parse().ok()).expect("version is printed")
+}
+
+fn query(it: &Deployment, name: &str) -> Value {
+    let ran = it.ctl(&[name, "--json"]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+    serde_json::from_str(&ran.out).expect("query prints JSON")
+}
+
+on_loopback! {
+    change_is_in_force_in_every_process(it, 2, 3) {
+        let version = check_accepted(&it, 5000);
+        check_in_force(&it, version).await;
+        sleep(Duration::from_millis(300)).await;
+        let agents = query(&it, "agents");
+        let agents = agents.as_array().expect("agents are listed");
+        assert_eq!(agents.len(), 3);
+        assert!(agents.iter().all(|a| a["version"] == version), "{agents:?}");
+        let entries = query(&it, "entries");
+        let entries = entries.as_array().expect("entries are listed");
+        assert_eq!(entries.len(), 2);
+        assert!(entries.iter().all(|e| e["says"]["version"] == version), "{entries:?}");
+    }
+
+    older_version_of_the_store_is_left_aside(it, 2, 2) {
+        check_accepted(&it, 5000);
+        let version = check_accepted(&it, 6000);
+        check_in_force(&it, version).await;
+        it.set_faults(&json!({"stale_reads": 1_000_000})).await;
+        check_stays(&it, version, 20).await;
+        it.entries[0].kill();
+        it.entries[0] = it.start_entry(0);
+        check_in_force(&it, version).await;
+        check_stays(&it, version, 20).await;
+    }
+
+    lost_reply_is_settled_once(it, 1, 1) {
+        it.set_faults(&json!({"lose_replies": 1})).await;
+        let version = check_accepted(&it, 5000);
+        check_in_force(&it, version).await;
+        let history = query(&it, "history");
+        assert_eq!(history["changes"].as_array().map(Vec::len), Some(1));
+    }
+
+    racing_operators_are_told_what_won(it, 1, 1) {
+        it.set_faults(&json!({"slow_ms": 300})).await;
+        let tools: Vec<_> = (0..8).map(|i| {
+            let (author, value) = (format!("--author=op{i}"), format!("deadline_ms={}", 5000 + i));
+            it.start_ctl(0, &[&author, "default-set", &value])
+        }).collect();
+        let runs: Vec<Ran> = tools.into_iter().map(|t| t.finish()).collect();
+        it.set_faults(&json!({})).await;
+        let (won, lost): (Vec<_>, Vec<_>) = runs.iter().partition(|r| r.code == 0);
+        assert!(!won.is_empty() && !lost.is_empty(), "{runs:?}");
+        let history = query(&it, "history");
+        let changes = history["changes"].as_array().expect("there are changes");
+        assert_eq!(changes.len(), won.len());
+        for ran in lost {
+            assert_eq!(ran.code, 4, "{}", ran.err);
+            let named = |c: &Value| c["author"].as_str().is_some_and(|a| ran.err.contains(a));
+            assert!(changes.iter().any(named), "{}", ran.err);
+        }
+        let version = history["version"].as_u64().expect("there is a version");
+        assert_eq!(version, 1 + changes.len() as u64);
+        check_in_force(&it, version).await;
+    }
+
+    restart_in_an_outage_learns_from_peers(it, 2, 2) {
+        let version = check_accepted(&it, 5000);
+        check_in_force(&it, version).await;
+        it.set_faults(&json!({"down": true})).await;
+        it.entries[0].kill();
+        it.agents[0].kill();
+        it.entries[0] = it.start_entry(0);
+        it.agents[0] = it.start_agent(0);
+        check_in_force(&it, version).await;
+        // every entry at once: the agents alone remember
+        for i in 0..2 {
+            it.entries[i].kill();
+            it.entries[i] = it.start_entry(i);
+        }
+        check_in_force(&it, version).await;
+    }
+
+    woken_process_does_not_revert(it, 2, 2) {
+        check_accepted(&it, 5000);
+        it.entries[1].signal(Signal::SIGSTOP);
+        it.agents[1].signal(Signal::SIGSTOP);
+        check_accepted(&it, 6000);
+        let version = check_accepted(&it, 7000);
+        sleep(Duration::from_secs(2)).await;
+        it.set_faults(&json!({"down": true})).await;
+        it.entries[1].signal(Signal::SIGCONT);
+        it.agents[1].signal(Signal::SIGCONT);
+        check_in_force(&it, version).await;
+        it.set_faults(&json!({"stale_reads": 1_000_000})).await;
+        check_stays(&it, version, 20).await;
+    }
+
+    faulty_change_is_refused_whole(it, 1, 1) {
+        let cases: [(&[&str], i32, &str); 6] = [
+            (&["exception-add", "ledger", "slots=4"], 1, "exceptions[0].reason"),
+            (&["exception-add", "ledger", "slots=9999", "--reason", "r"], 1, "exceptions[0].values.slots"),
+            (&["exception-add", "nothing", "slots=4", "--reason", "r"], 1, "exceptions[0].service"),
+            (&["default-set", "deadline_s=4"], 1, "deadline_ms"),
+            (&["default-set", "deadline_ms=4s"], 2, "milliseconds"),
+            (&["--expect=7", "default-set", "deadline_ms=400"], 4, "version 1"),
+        ];
+        for (args, code, word) in cases {
+            let args: Vec<_> = ["--author=ana"].iter().chain(args).copied().collect();
+            let ran = it.ctl(&args);
+            assert_eq!(ran.code, code, "{args:?}: {}", ran.err);
+            assert!(ran.err.contains(word), "{args:?}: {}", ran.err);
+        }
+        assert_eq!(query(&it, "history")["version"], 1);
+    }
+
+    exception_is_shown_with_its_reason(it, 1, 1) {
+        let reason = "old VM until March";
+        let ran = it.ctl(&["--author=ana", "exception-add", "ledger", "slots=4", "--reason", reason]);
+        assert_eq!(ran.code, 0, "{}", ran.err);
+        let shown = &query(&it, "exceptions")["exceptions"][0];
+        assert_eq!((shown["reason"].as_str(), shown["author"].as_str()), (Some(reason), Some("ana")));
+        assert!(shown["added_ms"].as_u64().is_some_and(|ms| ms > 0));
+        assert_eq!(it.ctl(&["exception-remove", "ledger", "slots"]).code, 0);
+        assert_eq!(query(&it, "exceptions")["exceptions"], json!([]));
+    }
+}
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -123,7 +123,8 @@
 
 interface Entry {
   # An agent announces itself, and learns of entries and configuration.
-  greet @0 (info :AgentInfo) -> (entries :List(Text), version :UInt64, document :Text);
+  # Whoever has the newer document sends it; the agent only once it knows that the entry is behind.
+  greet @0 (info :AgentInfo, document :Text) -> (entries :List(Text), version :UInt64, document :Text);
 }
 
 interface Agent {
