--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -40,6 +40,8 @@
     pub poll_ms: u64,
     /// an agent unheard for this long gets no new work, milliseconds
     pub silence_ms: u64,
+    /// time for the agents to greet a fresh entry before it is ready, milliseconds
+    pub warm_ms: u64,
     /// time for the balancer to see this entry unready, milliseconds
     pub unready_ms: u64,
 }
@@ -57,6 +59,7 @@
             body_bytes: 1 << 20,
             poll_ms: 1000,
             silence_ms: 2000,
+            warm_ms: 1500,
             unready_ms: 500,
         }
     }
@@ -73,6 +76,17 @@
     }
 }
 
+/// Order in which an agent starts queued tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueKind {
+    /// short work beside long, by deadline and run times observed
+    #[default]
+    Classes,
+    /// first in, first out: a baseline for measurements
+    Fifo,
+}
+
 /// Settings of `egret-agent`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -95,6 +109,8 @@
     pub slots: u32,
     /// connections it may open to its backend server
     pub connections: u32,
+    /// order in which queued tasks start
+    pub queue: QueueKind,
     /// how often entries are greeted, milliseconds
     pub beat_ms: u64,
     /// a backend server that has not renewed for this long is gone, milliseconds
@@ -115,6 +131,7 @@
             token: Token::default(),
             slots: 8,
             connections: 64,
+            queue: QueueKind::default(),
             beat_ms: 500,
             renew_ms: 3000,
         }
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -4,7 +4,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::{Event, clock_micros};
@@ -35,8 +35,9 @@
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
-    /// false from the start of a graceful shutdown
-    pub ready: Arc<AtomicBool>,
+    pub started: Instant,
+    /// true from the start of a graceful shutdown
+    pub stopping: Arc<AtomicBool>,
 }
 
 /// Runs an entry until it is told to stop.
@@ -59,7 +60,8 @@
         fleet: Arc::default(),
         peers: Arc::default(),
         metrics: Arc::default(),
-        ready: Arc::new(AtomicBool::new(true)),
+        started: Instant::now(),
+        stopping: Arc::default(),
         settings: Arc::new(settings),
     };
     let address = shared.settings.rpc;
@@ -69,7 +71,7 @@
         shared.settings.token.clone(),
         capnp_rpc::new_client(EntryRpc::new(shared.clone())),
     );
-    actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
+    actix::spawn(wire::serve(listener, door));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
@@ -81,7 +83,7 @@
 
     stop_signal().await;
     Event::Stopping.log(format_args!("{}", shared.settings.name));
-    shared.ready.store(false, Ordering::Release);
+    shared.stopping.store(true, Ordering::Release);
     sleep(Duration::from_millis(shared.settings.unready_ms)).await;
     server.stop(true).await;
     Event::Stopped.log(format_args!("{}", shared.settings.name));
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -82,7 +82,7 @@
         name: &shared.settings.name,
         centre: &shared.settings.centre,
         version: shared.fleet.version(),
-        ready: shared.ready.load(Ordering::Acquire),
+        ready: !shared.stopping.load(Ordering::Acquire),
         agents: shared.agents.all().len(),
     }))
 }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -4,12 +4,16 @@
     path::PathBuf,
     process::{self, Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
 };
 
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use tokio::time::sleep;
+
+const POLL: Duration = Duration::from_millis(10);
 
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u32 = 22_000;
@@ -43,10 +47,15 @@
         let _ = self.child.wait();
     }
 
-    /// Asks it to stop and waits for its end.
-    pub fn stop(&mut self) -> ExitStatus {
+    /// Asks it to stop, and waits for its end while other work goes on.
+    pub async fn stop_gracefully(&mut self) -> ExitStatus {
         self.signal(Signal::SIGTERM);
-        self.child.wait().expect("process can be waited for")
+        loop {
+            if let Some(status) = self.child.try_wait().expect("process can be waited for") {
+                return status;
+            }
+            sleep(POLL).await;
+        }
     }
 }
 
--- a/crates/standin/src/backend/app.rs
+++ b/crates/standin/src/backend/app.rs
@@ -1,7 +1,7 @@
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use actix_web::{
@@ -22,6 +22,7 @@
 
 const MAX_BODY_BYTES: usize = 4 << 20;
 const SHUTDOWN_SECONDS: u64 = 120;
+const LEAVE_POLL: Duration = Duration::from_millis(20);
 
 /// Stand-in for a backend server
 #[derive(Clone, Debug, Bpaf)]
@@ -70,6 +71,7 @@
 async fn serve(args: Args) -> std::io::Result<()> {
     let server =
         Data::new(Server { speed: args.speed, starts: Mutex::default(), mode: Mutex::default() });
+    let running = server.clone();
     let http = HttpServer::new(move || {
         App::new()
             .app_data(server.clone())
@@ -92,6 +94,10 @@
     stop_signal().await;
     renewal.abort();
     leave(&args.agent, incarnation).await;
+    // stays open meanwhile, so that wrongly sent work would be seen to start
+    while lock(&running.starts).running > 0 {
+        sleep(LEAVE_POLL).await;
+    }
     handle.stop(true).await;
     Ok(())
 }
@@ -108,10 +114,12 @@
         at_ms: now_ms(),
     };
     lock(&server.starts).begin(start);
+    let began = Instant::now();
     let fail_all = lock(&server.mode).fail_all;
-    let ran_ms = if fail_all { 0.0 } else { work.run_ms / server.speed };
-    sleep(Duration::from_secs_f64(ran_ms / 1e3)).await;
+    let run_ms = if fail_all { 0.0 } else { work.run_ms / server.speed };
+    sleep(Duration::from_secs_f64(run_ms / 1e3)).await;
     lock(&server.starts).end();
+    let ran_ms = began.elapsed().as_secs_f64() * 1e3;
     if fail_all || work.fail {
         return HttpResponse::InternalServerError().body("told to fail");
     }
