--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -1,10 +1,12 @@
 //! The callers' interface over HTTP with JSON.
 
+mod admin;
 mod answer;
 mod body;
 mod error;
 mod health;
 mod job;
+mod refusal;
 mod request;
 mod server;
 mod submit;
