--- a/crates/standin/src/load/app.rs
+++ b/crates/standin/src/load/app.rs
@@ -12,6 +12,7 @@
     plot::{Kind, kind, plot},
     report::{Phases, Report},
     table::table,
+    targets::targets,
     workload::Workload,
 };
 
@@ -51,6 +52,12 @@
         #[bpaf(positional("REPORT"), some("name at least one report"))]
         reports: Vec<PathBuf>,
     },
+    /// Hold the reports in a folder against the targets
+    #[bpaf(command("targets"))]
+    Targets {
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
     /// Draw reports as an SVG plot
     #[bpaf(command("plot"))]
     Plot {
@@ -82,7 +89,7 @@
     /// one-way delay between callers and entries, milliseconds
     #[bpaf(long, argument("MS"))]
     delay: Option<f64>,
-    /// team whose rate is multiplied, at the same rate of the others
+    /// team whose rate is multiplied, at the same rate of the others; it is reported apart
     #[bpaf(long, argument("TEAM"))]
     boost: Option<String>,
     /// how many times
@@ -117,6 +124,7 @@
             println!("{}", table(&[report]));
         }
         Verb::Table { reports } => println!("{}", table(&read_reports(&reports)?)),
+        Verb::Targets { folder } => println!("{}", targets(&folder)),
         Verb::Plot { kind, class, out, reports } => {
             plot(kind, class.as_deref(), &read_reports(&reports)?, &out)?;
         }
--- a/crates/standin/src/load/caller.rs
+++ b/crates/standin/src/load/caller.rs
@@ -6,6 +6,7 @@
 use awc::{Client, Connector};
 use base::now_ms;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
 use super::{
@@ -65,18 +66,12 @@
 #[derive(Deserialize)]
 struct AnswerBody {
     outcome: Option<String>,
-    answer: Option<Ran>,
-    answers: Option<Vec<Ran>>,
+    answer: Option<Value>,
+    answers: Option<Vec<Value>>,
     #[serde(default)]
     retry_after_ms: f64,
 }
 
-#[derive(Deserialize)]
-struct Ran {
-    #[serde(default)]
-    ran_ms: f64,
-}
-
 struct Reply {
     ended: Ended,
     ran: Vec<f64>,
@@ -194,7 +189,7 @@
         let ran = answer.answers.into_iter().flatten().chain(answer.answer);
         Self {
             ended: Ended::from_word(answer.outcome.as_deref().unwrap_or_default()),
-            ran: ran.map(|r| r.ran_ms).collect(),
+            ran: ran.filter_map(|r| r.get("ran_ms")?.as_f64()).collect(),
             retry_ms: answer.retry_after_ms,
         }
     }
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -16,11 +16,12 @@
 mod sample;
 mod summary;
 mod table;
+mod targets;
 mod timeline;
 mod workload;
 
 pub use app::run;
 pub use arrival::{Arrival, plan};
-pub use report::{Phases, Report};
+pub use report::{Phases, Report, Teams};
 pub use sample::{Ended, Sample};
 pub use workload::{Burst, Cancel, Class, Swing, Team, Workload};
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -17,7 +17,7 @@
     pub workload: Workload,
     pub all: Summary,
     pub classes: BTreeMap<String, Summary>,
-    pub teams: BTreeMap<String, Summary>,
+    pub teams: Option<Teams>,
     pub crests: Vec<Crest>,
     pub phases: Option<Phases>,
     /// how much later than intended this tool itself sent
@@ -25,6 +25,13 @@
     pub timeline: Vec<Bucket>,
 }
 
+/// One team apart from the others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Teams {
+    pub watched: Summary,
+    pub others: Summary,
+}
+
 /// The run around a fault that the script made.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Phases {
@@ -55,15 +62,11 @@
             let of = samples.iter().filter(|s| s.class == i);
             (class.name.clone(), Summary::new(&workload, of))
         });
-        let teams = workload.teams.iter().enumerate().map(|(i, team)| {
-            let of = samples.iter().filter(|s| s.team == i);
-            (team.name.clone(), Summary::new(&workload, of))
-        });
         Self {
             name,
             all: Summary::new(&workload, samples.iter()),
             classes: classes.collect(),
-            teams: teams.collect(),
+            teams: Teams::new(&workload, samples),
             crests: workload.swings.iter().map(|s| Crest::new(s, &workload, &timeline)).collect(),
             phases: None,
             lag_ms: Percentiles::new(samples.iter().map(|s| s.lag_ms)),
@@ -73,6 +76,17 @@
     }
 }
 
+impl Teams {
+    fn new(workload: &Workload, samples: &[Sample]) -> Option<Self> {
+        let watched = workload.watched.as_ref()?;
+        let is_watched = |s: &&Sample| &workload.teams[s.team].name == watched;
+        Some(Self {
+            watched: Summary::new(workload, samples.iter().filter(is_watched)),
+            others: Summary::new(workload, samples.iter().filter(|s| !is_watched(s))),
+        })
+    }
+}
+
 impl Phases {
     /// Cuts a run at the time of a fault, and again when that should be over.
     pub fn new(workload: &Workload, samples: &[Sample], at: f64, settled: f64) -> Self {
--- a/crates/standin/src/load/table.rs
+++ b/crates/standin/src/load/table.rs
@@ -11,9 +11,9 @@
         if report.classes.len() > 1 {
             lines.extend(report.classes.iter().map(|(name, s)| row(&report.name, name, s)));
         }
-        if report.teams.len() > 1 {
-            let teams = report.teams.iter();
-            lines.extend(teams.map(|(name, s)| row(&report.name, &format!("team {name}"), s)));
+        if let Some(teams) = &report.teams {
+            lines.push(row(&report.name, "watched team", &teams.watched));
+            lines.push(row(&report.name, "other teams", &teams.others));
         }
         if let Some(phases) = &report.phases {
             lines.push(row(&report.name, "before the fault", &phases.before));
--- a/crates/standin/src/load/workload.rs
+++ b/crates/standin/src/load/workload.rs
@@ -20,6 +20,8 @@
     pub swings: Vec<Swing>,
     pub classes: Vec<Class>,
     pub teams: Vec<Team>,
+    /// team to report apart from the others
+    pub watched: Option<String>,
     pub bursts: Vec<Burst>,
     pub cancel: Option<Cancel>,
     /// one-way delay between callers and entries, added on both ways by this tool
@@ -140,10 +142,12 @@
         let shares = |classes: &[Class]| classes.iter().map(|c| c.share).sum::<f64>();
         let rate = self.base_rate() / shares(&self.classes);
         self.classes.retain(|c| c.name != name);
+        self.bursts.retain(|b| b.class != name);
         self.rate = Some(rate * shares(&self.classes));
     }
 
-    /// Multiplies the rate of a team, and keeps the rate of the others.
+    /// Multiplies the rate of a team, keeps the rate of the others, and has the
+    /// team reported apart.
     pub fn boost_team(&mut self, name: &str, factor: f64) {
         let shares = |teams: &[Team]| teams.iter().map(|t| t.share).sum::<f64>();
         let rate = self.base_rate() / shares(&self.teams);
@@ -151,6 +155,7 @@
             team.share *= factor;
         }
         self.rate = Some(rate * shares(&self.teams));
+        self.watched = Some(name.to_owned());
     }
 
     /// Arrivals a second outside of swings.
@@ -225,6 +230,7 @@
             swings: Vec::new(),
             classes: vec![Class::default()],
             teams: vec![Team { name: "coop".to_owned(), share: 1.0 }],
+            watched: None,
             bursts: Vec::new(),
             cancel: None,
             delay_ms: 0.0,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,12 +11,14 @@
 mod link;
 mod task;
 mod text;
+mod traffic;
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
 pub use door::Door;
 pub use info::{AgentInfo, Load, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
 pub use task::{read_id, read_task, write_id, write_task};
+pub use traffic::Traffic;
 
 /// Version of the protocol; peers with another one are refused.
 pub const PROTOCOL: u16 = 1;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -12,6 +12,7 @@
 use crate::{
     Error, PROTOCOL, Result,
     egret_capnp::{agent, entry, gate},
+    traffic::Counted,
 };
 
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -114,7 +115,8 @@
     let (read, write) = stream.into_split();
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    let network = VatNetwork::new(read.compat(), write.compat_write(), side, options);
+    let network =
+        VatNetwork::new(Counted(read.compat()), Counted(write.compat_write()), side, options);
     let mut system = RpcSystem::new(Box::new(network), gate.map(|g| g.client));
     let gate = system.bootstrap(Side::Server);
     let down = Rc::new(Cell::new(false));
