--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,7 +4,7 @@
     metrics::{family::Family, gauge::Gauge},
     registry::Registry,
 };
-use wire::Load;
+use wire::{Load, Traffic};
 
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -26,6 +26,7 @@
 /// # Errors
 /// When they can't be written as text.
 pub fn page(labels: &Labels, load: &Load, version: u64) -> Result<String, std::fmt::Error> {
+    let traffic = Traffic::now();
     let figures = [
         ("egret_queued", "Tasks that wait", u64::from(load.queued)),
         ("egret_running", "Tasks that run", load.running.into()),
@@ -35,6 +36,9 @@
         ("egret_mean_run_us", "Mean observed run time", load.mean.as_micros() as u64),
         ("egret_configuration_version", "Fleet configuration in force", version),
         ("egret_invariants_broken", "Invariants broken since the start", base::broken_count()),
+        ("egret_link_received_bytes", "Bytes received over links", traffic.received),
+        ("egret_link_sent_bytes", "Bytes sent over links", traffic.sent),
+        ("egret_link_messages", "Messages sent over links", traffic.messages),
     ];
     let set = Set { agent: labels.name.to_string(), service: labels.service.to_string() };
     let mut registry = Registry::default();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,6 +13,7 @@
     },
     registry::Registry,
 };
+use wire::Traffic;
 
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -63,6 +64,9 @@
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
+    received: Gauge<u64, AtomicU64>,
+    sent: Gauge<u64, AtomicU64>,
+    messages: Gauge<u64, AtomicU64>,
 }
 
 /// A submission in flight; one less when dropped.
@@ -87,6 +91,9 @@
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
+            received: Gauge::default(),
+            sent: Gauge::default(),
+            messages: Gauge::default(),
         };
         it.register();
         it
@@ -125,6 +132,10 @@
         self.version.set(version);
         self.agents.set(agents as i64);
         self.broken.set(base::broken_count());
+        let traffic = Traffic::now();
+        self.received.set(traffic.received);
+        self.sent.set(traffic.sent);
+        self.messages.set(traffic.messages);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -141,6 +152,10 @@
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
         r.register("egret_invariants_broken", "Invariants broken since the start", broken);
+        let received = self.received.clone();
+        r.register("egret_link_received_bytes", "Bytes received over links", received);
+        r.register("egret_link_sent_bytes", "Bytes sent over links", self.sent.clone());
+        r.register("egret_link_messages", "Messages sent over links", self.messages.clone());
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 pub use info::{AgentInfo, Load, Room, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
 pub use task::{read_id, read_task, write_id, write_task};
-pub use traffic::Traffic;
+pub use traffic::{Frames, Traffic};
 
 /// Version of the protocol; peers with another one are refused.
 pub const PROTOCOL: u16 = 1;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -14,7 +14,7 @@
 use crate::{
     Door, Error, PROTOCOL, Result,
     egret_capnp::{agent, entry, gate},
-    traffic::Counted,
+    traffic::{CountedRead, CountedWrite},
 };
 
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -139,8 +139,12 @@
     let (read, write) = stream.into_split();
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    let network =
-        VatNetwork::new(Counted(read.compat()), Counted(write.compat_write()), side, options);
+    let network = VatNetwork::new(
+        CountedRead(read.compat()),
+        CountedWrite::new(write.compat_write()),
+        side,
+        options,
+    );
     let mut system = RpcSystem::new(Box::new(network), gate.map(|g| g.client));
     let gate = system.bootstrap(Side::Server);
     let down = Rc::new(Cell::new(false));
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -9,24 +9,101 @@
 
 static RECEIVED: AtomicU64 = AtomicU64::new(0);
 static SENT: AtomicU64 = AtomicU64::new(0);
+static MESSAGES: AtomicU64 = AtomicU64::new(0);
 
-/// Bytes over all links since the process started.
+/// What all links carried since the process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Traffic {
+    /// bytes
     pub received: u64,
+    /// bytes
     pub sent: u64,
+    /// messages sent
+    pub messages: u64,
 }
 
 impl Traffic {
     pub fn now() -> Self {
-        Self { received: RECEIVED.load(Ordering::Relaxed), sent: SENT.load(Ordering::Relaxed) }
+        Self {
+            received: RECEIVED.load(Ordering::Relaxed),
+            sent: SENT.load(Ordering::Relaxed),
+            messages: MESSAGES.load(Ordering::Relaxed),
+        }
     }
 }
 
-/// One half of a connection, with its bytes counted.
-pub struct Counted<S>(pub S);
+/// Tells where the messages of a stream end.
+#[derive(Default)]
+pub struct Frames {
+    header: Vec<u8>,
+    /// bytes of the message still to come
+    left: usize,
+}
+
+impl Frames {
+    const WORD: usize = 8;
+
+    /// Takes the next bytes of the stream, and gives how many messages end in them.
+    pub fn feed(&mut self, mut bytes: &[u8]) -> u64 {
+        let mut ended = 0;
+        while !bytes.is_empty() {
+            let wanted = if self.left > 0 { self.left } else { self.header_left() };
+            let (now, rest) = bytes.split_at(wanted.min(bytes.len()));
+            bytes = rest;
+            if self.left > 0 {
+                self.left -= now.len();
+            } else {
+                self.header.extend_from_slice(now);
+                if self.header_left() > 0 {
+                    continue;
+                }
+                self.left = self.body_bytes();
+                self.header.clear();
+            }
+            ended += u64::from(self.left == 0);
+        }
+        ended
+    }
+
+    /// Bytes until the sizes of all segments are known.
+    fn header_left(&self) -> usize {
+        if self.header.len() < Self::WORD {
+            return Self::WORD - self.header.len();
+        }
+        let whole = (4 + 4 * self.segments()).next_multiple_of(Self::WORD);
+        whole - self.header.len()
+    }
+
+    fn segments(&self) -> usize {
+        self.word(0) + 1
+    }
+
+    fn body_bytes(&self) -> usize {
+        (1..=self.segments()).map(|i| self.word(i) * Self::WORD).sum()
+    }
+
+    fn word(&self, i: usize) -> usize {
+        let bytes = self.header.get(4 * i..4 * i + 4).and_then(|b| b.try_into().ok());
+        u32::from_le_bytes(bytes.unwrap_or_default()) as usize
+    }
+}
+
+/// Reading half of a connection, with its bytes counted.
+pub struct CountedRead<S>(pub S);
+
+/// Writing half of a connection, with its bytes and messages counted.
+pub struct CountedWrite<S> {
+    inner: S,
+    frames: Frames,
+}
+
+impl<S> CountedWrite<S> {
+    pub fn new(inner: S) -> Self {
+        Self { inner, frames: Frames::default() }
+    }
+}
 
-impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for CountedRead<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -36,21 +113,25 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedWrite<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        count(&SENT, Pin::new(&mut self.0).poll_write(cx, buf))
+        let done = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = &done {
+            MESSAGES.fetch_add(self.frames.feed(&buf[..*n]), Ordering::Relaxed);
+        }
+        count(&SENT, done)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_close(cx)
+        Pin::new(&mut self.inner).poll_close(cx)
     }
 }
 
