--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -45,6 +45,8 @@
     BackendSeen = 400 Info "backend server announced itself"
     BackendGone = 401 Warn "backend server stopped renewing"
     BackendLeft = 402 Info "backend server left"
+    AgentEjected = 600 Warn "agent left out: nearly all of its runs fail"
+    AgentBackIn = 601 Info "agent no longer left out"
 }
 
 impl Event {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,7 +5,7 @@
 mod settings;
 
 pub use fleet::{Exception, Fleet, Service, Values};
-pub use settings::{AgentSettings, Check, EntrySettings, Fault, QueueKind, load};
+pub use settings::{AgentSettings, Check, EntrySettings, Fault, PickKind, QueueKind, load};
 
 /// What can go wrong with settings.
 #[derive(Debug, thiserror::Error)]
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -31,6 +31,8 @@
     /// URL of the platform
     pub platform: String,
     pub token: Token,
+    /// how an agent is chosen for a task
+    pub pick: PickKind,
     /// threads that serve callers
     pub threads: usize,
     /// largest body of a request, bytes
@@ -52,6 +54,7 @@
             rpc: SocketAddr::from(([127, 0, 0, 1], 7200)),
             platform: "http://127.0.0.1:7000".to_owned(),
             token: Token::default(),
+            pick: PickKind::default(),
             threads: 2,
             body_bytes: 1 << 20,
             poll_ms: 1000,
@@ -72,6 +75,21 @@
     }
 }
 
+/// How an entry chooses an agent for a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PickKind {
+    /// by the expected wait and run time there
+    #[default]
+    ExpectedWait,
+    /// any: a baseline for measurements
+    Random,
+    /// each in turn: a baseline for measurements
+    RoundRobin,
+    /// fewest tasks of this entry: a baseline for measurements
+    LeastOutstanding,
+}
+
 /// Order in which an agent starts queued tasks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/crates/entry/src/call/chooser.rs
@@ -0,0 +1,177 @@
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{Event, Name};
+use conf::PickKind;
+use pick::{
+    Candidates, Ejector, EjectorSettings, ExpectedWait, LeastOutstanding, Policy, Random,
+    RoundRobin, Settings, Standing, View,
+};
+use queue::{Class, Classes};
+use wire::Load;
+
+use crate::fleet::{Agents, Peer};
+
+/// Extra cost of an agent in another data centre, there and back.
+const DISTANCE: Duration = Duration::from_millis(1);
+/// An operation is long from this many times the short run time on.
+const LONG_FACTOR: f64 = 5.0;
+
+/// Chooses an agent for each task, on one thread.
+pub struct Chooser {
+    agents: Arc<Agents>,
+    centre: Name,
+    policy: RefCell<Box<dyn Policy>>,
+    services: RefCell<HashMap<Name, Service>>,
+}
+
+/// What this thread knows of a service.
+struct Service {
+    /// count of changes when `peers` was read
+    changes: u64,
+    peers: Vec<Arc<Peer>>,
+    classes: Classes,
+    ejector: RefCell<Ejector>,
+}
+
+/// An agent chosen for one offer; the offer counts until this is dropped.
+pub struct Chosen {
+    pub peer: Arc<Peer>,
+}
+
+impl Chooser {
+    pub fn new(agents: Arc<Agents>, centre: Name, kind: PickKind) -> Self {
+        let policy = RefCell::new(policy(kind));
+        Self { agents, centre, policy, services: RefCell::default() }
+    }
+
+    /// Chooses an agent; those that `skip` names get no offer.
+    pub fn choose(
+        &self,
+        service: &Name,
+        operation: &str,
+        skip: &dyn Fn(&Peer) -> bool,
+    ) -> Option<Chosen> {
+        self.refresh(service);
+        let services = self.services.borrow();
+        let open = Open {
+            service: services.get(service)?,
+            class: services.get(service)?.classes.class(operation),
+            now: Instant::now(),
+            silence: self.agents.silence(),
+            centre: &self.centre,
+            skip,
+        };
+        let index = self.policy.borrow_mut().pick(&open)?;
+        let peer = open.service.peers[index].clone();
+        open.service.ejector.borrow_mut().probed(&peer.name, open.now);
+        peer.offered();
+        Some(Chosen { peer })
+    }
+
+    /// Learns from the run time of a task.
+    pub fn learn(&self, service: &Name, operation: &Name, ran: Duration) {
+        if let Some(service) = self.services.borrow_mut().get_mut(service) {
+            service.classes.observe(operation, ran);
+        }
+    }
+
+    /// Reads the agents of a service again when any has changed.
+    fn refresh(&self, service: &Name) {
+        let changes = self.agents.changes();
+        let mut services = self.services.borrow_mut();
+        let known = services.entry(service.clone()).or_insert_with(Service::new);
+        if known.changes == changes {
+            return;
+        }
+        known.changes = changes;
+        known.peers = self.agents.of_service(service);
+        let peers = &known.peers;
+        known.ejector.borrow_mut().retain(|name| peers.iter().any(|p| p.name == *name));
+    }
+}
+
+impl Service {
+    fn new() -> Self {
+        Self {
+            changes: u64::MAX,
+            peers: Vec::new(),
+            classes: Classes::new(LONG_FACTOR),
+            ejector: RefCell::new(Ejector::new(EjectorSettings::default())),
+        }
+    }
+}
+
+impl Chosen {
+    /// Notes the load that came with the reply.
+    pub fn reported(&self, load: Load) {
+        self.peer.reported(load);
+    }
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        self.peer.over();
+    }
+}
+
+/// The agents that may take one task.
+struct Open<'a> {
+    service: &'a Service,
+    class: Class,
+    now: Instant,
+    silence: Duration,
+    centre: &'a str,
+    skip: &'a dyn Fn(&Peer) -> bool,
+}
+
+impl Candidates for Open<'_> {
+    fn len(&self) -> usize {
+        self.service.peers.len()
+    }
+
+    fn view(&self, index: usize) -> Option<View> {
+        let peer = &self.service.peers[index];
+        let view = peer.view(self.class, self.silence, self.now)?;
+        if (self.skip)(peer) {
+            return None;
+        }
+        let distance = if *peer.centre == *self.centre { Duration::ZERO } else { DISTANCE };
+        match self.judge(peer, view.failing) {
+            Standing::In => Some(View { distance, ..view }),
+            // the next task goes there, whatever else is open
+            Standing::Probe => Some(View { slots: view.slots, free: u32::MAX, ..View::default() }),
+            Standing::Out => None,
+        }
+    }
+}
+
+impl Open<'_> {
+    fn judge(&self, peer: &Peer, failing: f64) -> Standing {
+        let mut ejector = self.service.ejector.borrow_mut();
+        let before = ejector.len();
+        let standing = ejector.judge(&peer.name, failing, self.len(), self.now);
+        match ejector.len().cmp(&before) {
+            std::cmp::Ordering::Greater => {
+                Event::AgentEjected.log(format_args!("{}: {failing:.2} of runs fail", peer.name));
+            }
+            std::cmp::Ordering::Less => Event::AgentBackIn.log(format_args!("{}", peer.name)),
+            std::cmp::Ordering::Equal => {}
+        }
+        standing
+    }
+}
+
+fn policy(kind: PickKind) -> Box<dyn Policy> {
+    let seed = rand::random();
+    match kind {
+        PickKind::ExpectedWait => Box::new(ExpectedWait::new(Settings::default(), seed)),
+        PickKind::Random => Box::new(Random::new(seed)),
+        PickKind::RoundRobin => Box::new(RoundRobin::default()),
+        PickKind::LeastOutstanding => Box::new(LeastOutstanding::new(seed)),
+    }
+}
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -3,11 +3,15 @@
     time::{Duration, Instant},
 };
 
-use base::{Answer, Name, Outcome, Task};
+use base::{Answer, Outcome, Task};
+use conf::EntrySettings;
 use tokio::time::{sleep, timeout_at};
-use wire::{AgentInfo, Reply, read_load, read_reply, write_task};
+use wire::{Reply, read_load, read_reply, write_task};
 
-use super::{links::Links, pick::pick};
+use super::{
+    chooser::{Chooser, Chosen},
+    links::Links,
+};
 use crate::fleet::Agents;
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -25,7 +29,7 @@
 
 /// Takes tasks to their answers, on one thread.
 pub struct Dispatcher {
-    agents: Arc<Agents>,
+    chooser: Chooser,
     links: Links,
 }
 
@@ -39,8 +43,11 @@
 }
 
 impl Dispatcher {
-    pub fn new(agents: Arc<Agents>, token: base::Token) -> Self {
-        Self { agents, links: Links::new(token) }
+    pub fn new(agents: Arc<Agents>, settings: &EntrySettings) -> Self {
+        Self {
+            chooser: Chooser::new(agents, settings.centre.clone(), settings.pick),
+            links: Links::new(settings.token.clone()),
+        }
     }
 
     /// Gives the one answer to a task, by its deadline.
@@ -58,8 +65,11 @@
     async fn try_agents(&self, task: Task) -> Result<Answer> {
         let mut last = Answer::not_run("no agent of the service takes new work", RETRY_AFTER);
         for _ in 0..MAX_TRIES {
-            let Some(agent) = self.pick(&task.service) else { break };
-            match self.offer(&agent, &task).await {
+            let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &|_| false)
+            else {
+                break;
+            };
+            match self.offer(&chosen, &task).await {
                 Tried::Replied(Reply::Conflict) => return Err(Error::Conflict),
                 Tried::Replied(Reply::Held(holder)) => return Ok(held_elsewhere(&holder)),
                 Tried::Replied(Reply::Answer(answer)) => {
@@ -76,35 +86,39 @@
         Ok(last)
     }
 
-    fn pick(&self, service: &Name) -> Option<AgentInfo> {
-        pick(&self.agents.ready(service), &mut rand::rng())
-    }
-
-    async fn offer(&self, agent: &AgentInfo, task: &Task) -> Tried {
+    async fn offer(&self, chosen: &Chosen, task: &Task) -> Tried {
+        let agent = &chosen.peer;
         let Ok(link) = self.links.get(agent.address).await else { return Tried::Unsent };
         let Ok(client) = link.agent() else { return Tried::Unsent };
         let mut req = client.run_request();
         write_task(req.get().init_task(), task, Instant::now());
-        match self.reply(&agent.name, req.send().promise.await) {
-            Ok(reply) => Tried::Replied(reply),
+        match read(chosen, req.send().promise.await) {
+            Ok(reply) => {
+                self.learn(task, &reply);
+                Tried::Replied(reply)
+            }
             Err(e) => Tried::Lost(format!("agent {} gave no answer: {e}", agent.name)),
         }
     }
 
-    fn reply(
-        &self,
-        agent: &str,
-        response: capnp::Result<
-            capnp::capability::Response<wire::egret_capnp::agent::run_results::Owned>,
-        >,
-    ) -> wire::Result<Reply> {
-        let response = response?;
-        let reply = response.get()?.get_reply()?;
-        self.agents.refresh(agent, read_load(reply.get_load()?));
-        read_reply(reply)
+    fn learn(&self, task: &Task, reply: &Reply) {
+        if let Reply::Answer(answer) = reply
+            && answer.outcome == Outcome::Done
+        {
+            self.chooser.learn(&task.service, &task.operation, answer.ran);
+        }
     }
 }
 
+type Response = capnp::capability::Response<wire::egret_capnp::agent::run_results::Owned>;
+
+fn read(chosen: &Chosen, response: capnp::Result<Response>) -> wire::Result<Reply> {
+    let response = response?;
+    let reply = response.get()?.get_reply()?;
+    chosen.reported(read_load(reply.get_load()?));
+    read_reply(reply)
+}
+
 fn held_elsewhere(holder: &str) -> Answer {
     Answer::unknown(&format!("agent {holder} holds the task"))
 }
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -1,7 +1,7 @@
 //! From a task to its one answer: picking an agent, offering, waiting.
 
+mod chooser;
 mod dispatcher;
 mod links;
-mod pick;
 
 pub use dispatcher::{Dispatcher, Error};
--- a/crates/entry/src/fleet/agents.rs
+++ b/crates/entry/src/fleet/agents.rs
@@ -1,16 +1,23 @@
 use std::{
     collections::BTreeMap,
-    sync::{PoisonError, RwLock},
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use base::{Event, Name};
 use wire::{AgentInfo, Load};
 
+use super::Peer;
+
 /// The agents that greet this entry. Nothing else lists them.
 pub struct Agents {
     silence: Duration,
-    seen: RwLock<BTreeMap<Name, Seen>>,
+    peers: RwLock<BTreeMap<Name, Arc<Peer>>>,
+    /// counts agents that came, changed or went
+    changes: AtomicU64,
 }
 
 /// An agent and when it was last heard.
@@ -22,42 +29,54 @@
 
 impl Agents {
     pub fn new(silence: Duration) -> Self {
-        Self { silence, seen: RwLock::default() }
+        Self { silence, peers: RwLock::default(), changes: AtomicU64::new(0) }
     }
 
     /// Notes a greeting.
     pub fn heard(&self, info: AgentInfo) {
-        let mut seen = self.seen.write().unwrap_or_else(PoisonError::into_inner);
-        let before = seen.get(&info.name).map(|s| (s.info.incarnation, s.info.load.ready));
-        if before.is_none_or(|(incarnation, _)| incarnation != info.incarnation) {
-            Event::AgentSeen.log(format_args!("{} at {}", info.name, info.address));
-        }
-        if before.is_some_and(|(_, ready)| ready) && !info.load.ready {
+        let known = self.get(&info.name);
+        if known.as_ref().is_some_and(|p| p.is_ready()) && !info.load.ready {
             Event::AgentNotReady.log(format_args!("{}", info.name));
         }
-        seen.insert(info.name.clone(), Seen { info, at: Instant::now() });
+        if let Some(peer) = known.filter(|p| p.is_same(&info)) {
+            peer.greeted(info);
+            return;
+        }
+        Event::AgentSeen.log(format_args!("{} at {}", info.name, info.address));
+        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        peers.insert(info.name.clone(), Arc::new(Peer::new(info)));
+        self.changes.fetch_add(1, Ordering::Release);
     }
 
     /// Notes the load that came with a reply.
     pub fn refresh(&self, agent: &str, load: Load) {
-        let mut seen = self.seen.write().unwrap_or_else(PoisonError::into_inner);
-        if let Some(seen) = seen.get_mut(agent) {
-            seen.info.load = load;
+        if let Some(peer) = self.get(agent) {
+            peer.reported(load);
         }
     }
 
-    /// Agents of a service that take new work.
-    pub fn ready(&self, service: &str) -> Vec<AgentInfo> {
-        let now = Instant::now();
-        self.all()
-            .into_iter()
-            .filter(|s| &*s.info.service == service && s.info.load.ready)
-            .filter(|s| now.duration_since(s.at) <= self.silence)
-            .map(|s| s.info)
-            .collect()
+    /// All agents of a service, by name.
+    pub fn of_service(&self, service: &str) -> Vec<Arc<Peer>> {
+        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        peers.values().filter(|p| &*p.service == service).cloned().collect()
+    }
+
+    pub fn get(&self, agent: &str) -> Option<Arc<Peer>> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner).get(agent).cloned()
     }
 
     pub fn all(&self) -> Vec<Seen> {
-        self.seen.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        peers.values().map(|p| p.seen()).collect()
+    }
+
+    /// Grows whenever an agent comes, changes or goes.
+    pub fn changes(&self) -> u64 {
+        self.changes.load(Ordering::Acquire)
+    }
+
+    /// An agent unheard for this long gets no new work.
+    pub fn silence(&self) -> Duration {
+        self.silence
     }
 }
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -3,8 +3,10 @@
 
 mod agents;
 mod current;
+mod peer;
 mod watcher;
 
 pub use agents::Agents;
 pub use current::Current;
+pub use peer::Peer;
 pub use watcher::Watcher;
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -15,7 +15,7 @@
     let threads = shared.settings.threads;
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let dispatcher = Dispatcher::new(shared.agents.clone(), shared.settings.token.clone());
+        let dispatcher = Dispatcher::new(shared.agents.clone(), &shared.settings);
         App::new()
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
             .app_data(Data::new(shared.clone()))
--- /dev/null
+++ b/crates/pick/benches/pick.rs
@@ -0,0 +1,52 @@
+//! Cost of one choice, by the size of the fleet.
+
+use std::time::Duration;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use pick::{
+    Candidates, ExpectedWait, LeastOutstanding, Policy, Random, RoundRobin, Settings, View,
+};
+
+const SIZES: [usize; 3] = [11, 150, 12_000];
+
+struct Fleet(Vec<View>);
+
+impl Candidates for Fleet {
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn view(&self, index: usize) -> Option<View> {
+        Some(self.0[index])
+    }
+}
+
+fn fleet(size: usize) -> Fleet {
+    let view = |i: usize| View {
+        slots: 8,
+        free: (i % 3) as u32,
+        wait: Duration::from_millis(i as u64 % 40),
+        mean: Duration::from_millis(50 + i as u64 % 150),
+        outstanding: (i % 8) as u32,
+        ..View::default()
+    };
+    Fleet((0..size).map(view).collect())
+}
+
+fn benches(c: &mut Criterion) {
+    for size in SIZES {
+        let fleet = fleet(size);
+        let policies: [(&str, Box<dyn Policy>); 4] = [
+            ("expected wait", Box::new(ExpectedWait::new(Settings::default(), 1))),
+            ("random", Box::new(Random::new(1))),
+            ("round robin", Box::new(RoundRobin::default())),
+            ("least outstanding", Box::new(LeastOutstanding::new(1))),
+        ];
+        for (name, mut policy) in policies {
+            c.bench_function(&format!("{name} of {size}"), |b| b.iter(|| policy.pick(&fleet)));
+        }
+    }
+}
+
+criterion_group!(all, benches);
+criterion_main!(all);
--- /dev/null
+++ b/crates/pick/src/expected.rs
@@ -0,0 +1,94 @@
+use std::{cmp::Ordering, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{Candidates, Policy, View, policy::any};
+
+/// Largest failing share that counts; beyond it an agent is ejected anyway.
+const MAX_FAILING: f64 = 0.9;
+/// Run time assumed of an agent that has reported none.
+const UNKNOWN_MEAN: Duration = Duration::from_millis(1);
+
+/// Settings of the choice by expected wait.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// candidates weighed for each task
+    pub samples: usize,
+    /// weight of the run time there, against a weight of 1 for the wait
+    pub run_weight: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { samples: 12, run_weight: 0.25 }
+    }
+}
+
+/// The agent where the task is expected to wait and run the shortest, out of
+/// a few chosen at random.
+pub struct ExpectedWait {
+    settings: Settings,
+    rng: SmallRng,
+}
+
+impl ExpectedWait {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self { settings, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Cost of a candidate in seconds.
+    fn cost(&self, view: &View) -> f64 {
+        let run = view.mean.as_secs_f64() * self.settings.run_weight;
+        let cost = view.expected_wait().as_secs_f64() + run + view.distance.as_secs_f64();
+        cost / (1.0 - view.failing.min(MAX_FAILING))
+    }
+
+    /// The cheapest of some candidates that are open.
+    fn cheapest(
+        &mut self,
+        from: &dyn Candidates,
+        among: impl Iterator<Item = usize>,
+    ) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for index in among {
+            let Some(view) = from.view(index) else { continue };
+            let cost = self.cost(&view);
+            if best.is_none_or(|(least, _)| cost.total_cmp(&least) == Ordering::Less) {
+                best = Some((cost, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+}
+
+impl Policy for ExpectedWait {
+    fn pick(&mut self, from: &dyn Candidates) -> Option<usize> {
+        let len = from.len();
+        let samples = self.settings.samples;
+        if len == 0 {
+            return None;
+        }
+        // neighbours from a random start tell apart as well as separate draws
+        let start = self.rng.random_range(0..len);
+        if len <= samples {
+            return self.cheapest(from, (0..len).map(|i| (start + i) % len));
+        }
+        let drawn: Vec<usize> = (0..samples).map(|_| self.rng.random_range(0..len)).collect();
+        let found = self.cheapest(from, drawn.into_iter());
+        found.or_else(|| any(from, &mut self.rng))
+    }
+}
+
+impl View {
+    /// Expected wait there, counting what was sent since the last report.
+    pub fn expected_wait(&self) -> Duration {
+        if self.unreported < self.free {
+            return Duration::ZERO;
+        }
+        let ahead = self.unreported - self.free;
+        let mean = self.mean.max(UNKNOWN_MEAN);
+        let turn = mean / self.slots.max(1);
+        let first = if self.free > 0 { turn } else { self.wait };
+        first + turn * ahead
+    }
+}
--- /dev/null
+++ b/crates/pick/src/simple.rs
@@ -0,0 +1,56 @@
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{Candidates, Policy, policy::any};
+
+/// Any agent: a baseline.
+pub struct Random {
+    rng: SmallRng,
+}
+
+impl Random {
+    pub fn new(seed: u64) -> Self {
+        Self { rng: SmallRng::seed_from_u64(seed) }
+    }
+}
+
+impl Policy for Random {
+    fn pick(&mut self, from: &dyn Candidates) -> Option<usize> {
+        any(from, &mut self.rng)
+    }
+}
+
+/// Each agent in turn: a baseline.
+#[derive(Default)]
+pub struct RoundRobin {
+    last: usize,
+}
+
+impl Policy for RoundRobin {
+    fn pick(&mut self, from: &dyn Candidates) -> Option<usize> {
+        let len = from.len();
+        let next = (1..=len).map(|i| (self.last + i) % len);
+        let index = { next }.find(|i| from.view(*i).is_some())?;
+        self.last = index;
+        Some(index)
+    }
+}
+
+/// The agent with the fewest tasks of this entry: a baseline that looks at all.
+pub struct LeastOutstanding {
+    rng: SmallRng,
+}
+
+impl LeastOutstanding {
+    pub fn new(seed: u64) -> Self {
+        Self { rng: SmallRng::seed_from_u64(seed) }
+    }
+}
+
+impl Policy for LeastOutstanding {
+    fn pick(&mut self, from: &dyn Candidates) -> Option<usize> {
+        let open = (0..from.len()).filter_map(|i| Some((i, from.view(i)?)));
+        open.map(|(i, view)| (view.outstanding, self.rng.random::<u32>(), i))
+            .min()
+            .map(|(_, _, index)| index)
+    }
+}
