--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -2,11 +2,10 @@
 //! in force.
 
 mod agents;
-mod current;
 mod peer;
 mod watcher;
 
 pub use agents::Agents;
-pub use current::Current;
+pub use conf::Current;
 pub use peer::Peer;
 pub use watcher::Watcher;
