--- a/crates/standin/src/load/table.rs
+++ b/crates/standin/src/load/table.rs
@@ -22,6 +22,8 @@
         }
     }
     for report in reports {
+        let lag = &report.lag_ms;
+        lines.push(format!("\n{}: sent {:.2} ms after the plan at p99", report.name, lag.p99));
         for crest in &report.crests {
             let back = crest.recovered_s.map_or("never".to_owned(), |s| format!("after {s:.1} s"));
             lines.push(format!(
