--- /dev/null
+++ b/crates/claim/src/grant.rs
@@ -0,0 +1,68 @@
+use base::{Digest, Name, TaskId};
+
+/// What an executor asks of the home before it may start a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    pub id: TaskId,
+    pub digest: Digest,
+    /// when the caller issued the key, unix milliseconds
+    pub issued: Option<u64>,
+    /// when the entry took the call, unix milliseconds
+    pub started: u64,
+    /// tasks of the submission
+    pub count: u32,
+    /// the executor's number of this claim; a later claim has a higher one
+    pub ask: u64,
+}
+
+/// One life of an executor.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holder {
+    pub name: Name,
+    pub incarnation: u64,
+}
+
+/// The home's word on a claim, a look or a bar.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// may start it
+    Granted {
+        /// roster in force at the home
+        epoch: u64,
+    },
+    /// another executor may
+    Held(Holder),
+    /// nobody holds it; only ever the answer to a look
+    Free,
+    /// nobody holds it, and no call begun so far will
+    Barred,
+    /// the key was used with another body
+    Conflict,
+    /// ask elsewhere
+    NotHome {
+        /// roster in force there
+        epoch: u64,
+    },
+    /// whether it ran before can't be told
+    Unknown(Name),
+    /// no room for another claim
+    Full,
+}
+
+/// A claim that is held, as the executor hands it to a new home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    pub claim: Claim,
+    pub holder: Holder,
+    /// roster in force when it was granted
+    pub epoch: u64,
+}
+
+/// How an executor gives up a claim before the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// the task may be placed elsewhere
+    Free,
+    /// a caller was told that it did not run
+    Bar,
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,6 +1,19 @@
 //! Claims of keyed tasks: the home of a key grants the right to start it at
-//! most once, and the executor keeps a record of what it was granted.
+//! most once, the executor keeps a record of what it was granted and what
+//! became of it, and the entry follows one call to its honest answer. All
+//! three are pure: messages and time go in, decisions come out.
 
+mod call;
+mod grant;
+mod limits;
+mod records;
+mod sweep;
+mod table;
 mod tenure;
 
+pub use call::{Call, Event, Step};
+pub use grant::{Claim, Grant, Holder, Record, Release};
+pub use limits::{Limits, Now};
+pub use records::{Records, Seen, Stage};
+pub use table::{Found, Table};
 pub use tenure::Tenure;
--- /dev/null
+++ b/crates/claim/tests/schedules.rs
@@ -0,0 +1,499 @@
+//! Random schedules of calls, executors and a home, over messages that are
+//! delayed, doubled, lost and reordered. `EGRET_RUNS=n` makes the run longer,
+//! `EGRET_SEED=n` repeats one schedule.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use base::{Answer, Digest, Outcome, TaskId};
+use claim::{
+    Call, Claim, Event, Grant, Holder, Limits, Now, Records, Release, Seen, Stage, Step, Table,
+    Tenure,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const RUNS: u64 = 3000;
+const STEPS: usize = 400;
+const EXECUTORS: usize = 3;
+const KEYS: u64 = 3;
+const MAX_OFFERS: u32 = 4;
+const SKEW_MS: u64 = 20;
+
+#[derive(Clone)]
+enum Message {
+    Offer { call: usize, step: u32, to: Holder },
+    Attach { call: usize, step: u32, to: Holder },
+    Reply { call: usize, step: u32, event: Event },
+    Claim { by: Holder, claim: Claim },
+    Grant { to: Holder, claim: Claim, grant: Grant },
+    Release { by: Holder, claim: Claim, release: Release },
+    Released { to: Holder, claim: Claim },
+    Look { call: usize, step: u32 },
+    Bar { call: usize, step: u32 },
+}
+
+struct Executor {
+    me: Holder,
+    records: Records,
+    queue: Vec<(TaskId, usize)>,
+    running: Vec<TaskId>,
+    waiting: Vec<(TaskId, usize, u32)>,
+    frozen: bool,
+}
+
+struct Caller {
+    id: TaskId,
+    digest: Digest,
+    started: u64,
+    call: Call,
+    step: u32,
+    offers: u32,
+    told: Option<Answer>,
+}
+
+struct Model {
+    rng: StdRng,
+    wall: u64,
+    table: Table,
+    since: u64,
+    unsure_before: Option<u64>,
+    executors: Vec<Executor>,
+    callers: Vec<Caller>,
+    bag: Vec<Message>,
+    /// when a key was first used, unless the caller keeps it to itself
+    issued: HashMap<TaskId, u64>,
+    starts: HashMap<TaskId, Vec<(usize, u64)>>,
+    lives: u64,
+    lost: bool,
+    moves: bool,
+    seen: HashSet<&'static str>,
+}
+
+fn executor(index: usize, life: u64) -> Executor {
+    let me = Holder { name: format!("agent-{index}").into(), incarnation: life };
+    let records = Records::new(me.clone(), limits());
+    let (queue, running, waiting) = (Vec::new(), Vec::new(), Vec::new());
+    Executor { me, records, queue, running, waiting, frozen: false }
+}
+
+fn limits() -> Limits {
+    Limits { skew: Duration::from_millis(SKEW_MS), ..Limits::default() }
+}
+
+fn refusal() -> Answer {
+    Answer::not_run("refused", Duration::from_secs(1))
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let moves = rng.random_bool(0.5);
+        Self {
+            rng,
+            wall: 1_000_000,
+            table: Table::new(limits()),
+            since: 1,
+            unsure_before: None,
+            executors: (0..EXECUTORS).map(|i| executor(i, i as u64)).collect(),
+            callers: Vec::new(),
+            bag: Vec::new(),
+            issued: HashMap::new(),
+            starts: HashMap::new(),
+            lives: EXECUTORS as u64,
+            lost: false,
+            moves,
+            seen: HashSet::new(),
+        }
+    }
+
+    fn run(mut self) -> HashSet<&'static str> {
+        for _ in 0..STEPS {
+            self.wall += self.rng.random_range(0..3);
+            match self.rng.random_range(0..100) {
+                0..60 => self.deliver(),
+                60..66 => self.begin_call(),
+                66..76 => self.start_task(),
+                76..82 => self.end_task(),
+                82..86 => self.give_up(),
+                86..90 => self.silence(),
+                90..92 => self.ask_timeout(),
+                92..95 => self.freeze(),
+                95..96 => self.kill(),
+                96..97 if self.moves => self.new_home(),
+                97..98 => self.close_call(),
+                _ => {}
+            }
+        }
+        self.check();
+        self.seen
+    }
+
+    fn now(&self) -> Now {
+        Now { tick: Duration::from_millis(self.wall), wall: self.wall }
+    }
+
+    fn tenure(&self) -> Tenure {
+        Tenure::Home { epoch: self.since, since: self.since, unsure_before: self.unsure_before }
+    }
+
+    fn claim_of(&self, call: usize) -> Claim {
+        let caller = &self.callers[call];
+        let (id, digest, started) = (caller.id.clone(), caller.digest, caller.started);
+        let issued = self.issued.get(&id).copied();
+        Claim { id, digest, issued, started, count: 1, ask: 0 }
+    }
+
+    fn begin_call(&mut self) {
+        let key = self.rng.random_range(0..KEYS);
+        let id = TaskId::new("coop".into(), format!("k{key}").into(), 0);
+        if key > 0 {
+            self.issued.entry(id.clone()).or_insert(self.wall);
+        }
+        // now and then a key is used with another body
+        let body = u128::from(self.rng.random_bool(0.02));
+        self.callers.push(Caller {
+            id,
+            digest: Digest(body),
+            started: self.wall,
+            call: Call::new(refusal()),
+            step: 0,
+            offers: 0,
+            told: None,
+        });
+        self.follow(self.callers.len() - 1, Step::Offer);
+    }
+
+    fn follow(&mut self, call: usize, step: Step) {
+        let caller = &mut self.callers[call];
+        caller.step += 1;
+        let number = caller.step;
+        match step {
+            Step::Offer if caller.offers == MAX_OFFERS => {
+                self.event(call, Event::NoAgent(refusal()));
+            }
+            Step::Offer => {
+                caller.offers += 1;
+                let to = self.rng.random_range(0..EXECUTORS);
+                let to = self.executors[to].me.clone();
+                self.bag.push(Message::Offer { call, step: number, to });
+            }
+            Step::Attach(to) => self.bag.push(Message::Attach { call, step: number, to }),
+            Step::Look => self.bag.push(Message::Look { call, step: number }),
+            Step::Bar => self.bag.push(Message::Bar { call, step: number }),
+            Step::Answer(answer) => self.tell(call, answer),
+            Step::Conflict => self.callers[call].told = Some(Answer::unknown("conflict")),
+        }
+    }
+
+    fn event(&mut self, call: usize, event: Event) {
+        let step = self.callers[call].call.next(event);
+        self.follow(call, step);
+    }
+
+    fn tell(&mut self, call: usize, answer: Answer) {
+        self.seen.insert(answer.outcome.as_str());
+        self.callers[call].told = Some(answer);
+    }
+
+    fn deliver(&mut self) {
+        if self.bag.is_empty() {
+            return;
+        }
+        let at = self.rng.random_range(0..self.bag.len());
+        match self.rng.random_range(0..100) {
+            0..4 => {
+                self.bag.swap_remove(at);
+            }
+            4..10 => self.receive(self.bag[at].clone()),
+            _ => {
+                let message = self.bag.swap_remove(at);
+                self.receive(message);
+            }
+        }
+    }
+
+    /// The executor of this life, unless it is gone; a frozen one reads later.
+    fn at(&mut self, to: &Holder, message: &Message) -> Option<usize> {
+        let at = self.executors.iter().position(|e| e.me == *to)?;
+        if self.executors[at].frozen {
+            self.bag.push(message.clone());
+            return None;
+        }
+        Some(at)
+    }
+
+    fn receive(&mut self, message: Message) {
+        match message.clone() {
+            Message::Offer { call, step, to } => {
+                if let Some(at) = self.at(&to, &message) {
+                    self.offered(at, call, step);
+                }
+            }
+            Message::Attach { call, step, to } => {
+                let Some(at) = self.at(&to, &message) else {
+                    if !self.executors.iter().any(|e| e.me == to) {
+                        self.reply(call, step, Event::HolderLost(to));
+                    }
+                    return;
+                };
+                self.attached(at, call, step);
+            }
+            Message::Reply { call, step, event } => {
+                let caller = &self.callers[call];
+                if caller.step == step && caller.told.is_none() {
+                    self.event(call, event);
+                }
+            }
+            Message::Claim { by, claim } => {
+                let (tenure, now) = (self.tenure(), self.now());
+                let grant = self.table.claim(tenure, &by, claim.clone(), now);
+                self.bag.push(Message::Grant { to: by, claim, grant });
+            }
+            Message::Grant { to, claim, grant } => {
+                if let Some(at) = self.at(&to, &message) {
+                    self.answered(at, &claim, grant);
+                }
+            }
+            Message::Release { by, claim, release } => {
+                let (tenure, now) = (self.tenure(), self.now());
+                self.table.release(tenure, &by, &claim, release, now);
+                self.bag.push(Message::Released { to: by, claim });
+            }
+            Message::Released { to, claim } => {
+                if let Some(at) = self.at(&to, &message) {
+                    self.executors[at].records.released(&claim);
+                }
+            }
+            Message::Look { call, step } => {
+                let claim = self.claim_of(call);
+                let found = self.table.look(self.tenure(), &claim);
+                self.reply(call, step, Event::Looked(found.grant));
+            }
+            Message::Bar { call, step } => {
+                let (tenure, now) = (self.tenure(), self.now());
+                let found = self.table.bar(tenure, self.claim_of(call), now);
+                self.reply(call, step, Event::Barred(found.grant));
+            }
+        }
+    }
+
+    fn reply(&mut self, call: usize, step: u32, event: Event) {
+        self.bag.push(Message::Reply { call, step, event });
+    }
+
+    fn offered(&mut self, at: usize, call: usize, step: u32) {
+        let claim = self.claim_of(call);
+        let executor = &mut self.executors[at];
+        match executor.records.see(&claim.id, claim.digest) {
+            Seen::New => {
+                let claim = executor.records.ask(claim);
+                executor.waiting.push((claim.id.clone(), call, step));
+                executor.queue.push((claim.id.clone(), call));
+                let by = executor.me.clone();
+                self.bag.push(Message::Claim { by, claim });
+            }
+            Seen::Waiting => executor.waiting.push((claim.id, call, step)),
+            Seen::Over(answer) => {
+                let event = Event::Answered(answer.clone());
+                self.reply(call, step, event);
+            }
+            Seen::GivenUp => self.reply(call, step, Event::Declined(refusal())),
+            Seen::Conflict => self.reply(call, step, Event::Conflict),
+        }
+    }
+
+    fn attached(&mut self, at: usize, call: usize, step: u32) {
+        let claim = self.claim_of(call);
+        let executor = &mut self.executors[at];
+        let event = match executor.records.see(&claim.id, claim.digest) {
+            Seen::Waiting => return executor.waiting.push((claim.id, call, step)),
+            Seen::Over(answer) => Event::Answered(answer.clone()),
+            Seen::New | Seen::GivenUp => Event::Declined(refusal()),
+            Seen::Conflict => Event::Conflict,
+        };
+        self.reply(call, step, event);
+    }
+
+    fn answered(&mut self, at: usize, claim: &Claim, grant: Grant) {
+        let executor = &mut self.executors[at];
+        let event = match grant {
+            Grant::Granted { epoch } => {
+                if !executor.records.granted(claim, epoch)
+                    && executor.records.stage(&claim.id).is_none()
+                {
+                    self.release(at, claim.clone(), Release::Free);
+                }
+                return;
+            }
+            Grant::Held(holder) => Event::Held(holder),
+            Grant::Conflict => Event::Conflict,
+            Grant::Barred => Event::Answered(refusal()),
+            Grant::Unknown(why) => Event::Answered(Answer::unknown(&why)),
+            _ => Event::Declined(refusal()),
+        };
+        if executor.records.refused(claim) {
+            self.drop_task(at, &claim.id, event);
+        }
+    }
+
+    fn release(&mut self, at: usize, claim: Claim, release: Release) {
+        let by = self.executors[at].me.clone();
+        self.bag.push(Message::Release { by, claim, release });
+    }
+
+    /// Answers all that wait for a task and takes it off the queue.
+    fn drop_task(&mut self, at: usize, id: &TaskId, event: Event) {
+        let executor = &mut self.executors[at];
+        executor.queue.retain(|(queued, _)| queued != id);
+        let waiting = std::mem::take(&mut executor.waiting);
+        let (told, kept) = waiting.into_iter().partition(|(waiting, ..)| waiting == id);
+        executor.waiting = kept;
+        let told: Vec<_> = told;
+        for (_, call, step) in told {
+            self.reply(call, step, event.clone());
+        }
+    }
+
+    fn awake(&mut self) -> Option<usize> {
+        let at = self.rng.random_range(0..EXECUTORS);
+        (!self.executors[at].frozen).then_some(at)
+    }
+
+    fn start_task(&mut self) {
+        let Some(at) = self.awake() else { return };
+        let executor = &mut self.executors[at];
+        let queued = |(id, _): &(TaskId, usize)| executor.records.stage(id) == Some(&Stage::Queued);
+        let Some(place) = executor.queue.iter().position(queued) else { return };
+        let (id, call) = executor.queue.remove(place);
+        executor.records.start(&id);
+        executor.running.push(id.clone());
+        let starts = self.starts.entry(id.clone()).or_default();
+        starts.push((call, self.wall));
+        assert_eq!(starts.len(), 1, "{id} started twice");
+    }
+
+    fn end_task(&mut self) {
+        let Some(at) = self.awake() else { return };
+        let now = self.now();
+        let Some(id) = self.executors[at].running.pop() else { return };
+        let answer = Answer::done("{}".into(), Duration::ZERO, "a".into());
+        self.executors[at].records.end(&id, answer.clone(), now);
+        self.drop_task(at, &id, Event::Answered(answer));
+    }
+
+    /// A queued task expires, or is sent elsewhere.
+    fn give_up(&mut self) {
+        let Some(at) = self.awake() else { return };
+        let Some((id, _)) = self.executors[at].queue.first().cloned() else { return };
+        let claim = self.executors[at].records.give_up(&id);
+        let (release, event) = if claim.is_some() && self.rng.random_bool(0.5) {
+            (Release::Bar, Event::Answered(refusal()))
+        } else {
+            (Release::Free, Event::Declined(refusal()))
+        };
+        if let Some(claim) = claim {
+            self.release(at, claim, release);
+        }
+        self.drop_task(at, &id, event);
+    }
+
+    fn open_call(&mut self) -> Option<usize> {
+        let open: Vec<_> =
+            (0..self.callers.len()).filter(|c| self.callers[*c].told.is_none()).collect();
+        (!open.is_empty()).then(|| open[self.rng.random_range(0..open.len())])
+    }
+
+    fn silence(&mut self) {
+        if let Some(call) = self.open_call() {
+            self.event(call, Event::Silent);
+        }
+    }
+
+    /// The deadline of a call is near.
+    fn close_call(&mut self) {
+        if let Some(call) = self.open_call() {
+            let event =
+                if self.rng.random_bool(0.5) { Event::NoAgent(refusal()) } else { Event::NoHome };
+            self.event(call, event);
+        }
+    }
+
+    fn ask_timeout(&mut self) {
+        let Some(at) = self.awake() else { return };
+        let executor = &mut self.executors[at];
+        let asked = |(id, _): &&(TaskId, usize)| executor.records.stage(id) == Some(&Stage::Asked);
+        let Some((id, _)) = executor.queue.iter().find(asked).cloned() else { return };
+        executor.records.give_up(&id);
+        self.drop_task(at, &id, Event::Declined(refusal()));
+    }
+
+    fn freeze(&mut self) {
+        let at = self.rng.random_range(0..EXECUTORS);
+        self.executors[at].frozen ^= true;
+    }
+
+    fn kill(&mut self) {
+        let at = self.rng.random_range(0..EXECUTORS);
+        self.executors[at] = executor(at, self.lives);
+        self.lives += 1;
+        self.lost = true;
+    }
+
+    /// The home is lost; the next one asks every executor that lives.
+    fn new_home(&mut self) {
+        let now = self.now();
+        self.since += 1;
+        self.table = Table::new(limits());
+        self.bag.retain(|m| !matches!(m, Message::Claim { .. }));
+        if self.lost {
+            self.unsure_before = Some(self.wall + SKEW_MS);
+        }
+        for at in 0..EXECUTORS {
+            let executor = &mut self.executors[at];
+            let asked =
+                |(id, _): &&(TaskId, usize)| executor.records.stage(id) == Some(&Stage::Asked);
+            let void: Vec<_> = executor.queue.iter().filter(asked).cloned().collect();
+            for record in executor.records.hand_over(|_| true) {
+                self.table.adopt(record, self.since, now);
+            }
+            for (id, _) in void {
+                self.drop_task(at, &id, Event::Declined(refusal()));
+            }
+        }
+    }
+
+    /// `not-run` is true: no call begun before the one that was told so ever
+    /// started the task.
+    fn check(&self) {
+        for (number, caller) in self.callers.iter().enumerate() {
+            let not_run = caller.told.as_ref().is_some_and(|a| a.outcome == Outcome::NotRun);
+            if !not_run {
+                continue;
+            }
+            let starts = self.starts.get(&caller.id).map_or(&[][..], Vec::as_slice);
+            for (by, at) in starts {
+                assert_ne!(*by, number, "call {number} was told not-run and started");
+                let earlier = *by < number && !self.moves;
+                assert!(!earlier, "call {by} started at {at}, {number} was told not-run");
+            }
+        }
+    }
+}
+
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[test]
+fn no_schedule_starts_a_task_twice() {
+    let runs = setting("EGRET_RUNS").unwrap_or(RUNS);
+    let first = setting("EGRET_SEED").unwrap_or(0);
+    let mut seen = HashSet::new();
+    for seed in first..first + runs {
+        let run = std::panic::catch_unwind(|| Model::new(seed).run());
+        seen.extend(run.unwrap_or_else(|_| panic!("EGRET_SEED={seed} EGRET_RUNS=1 fails")));
+    }
+    assert!(runs < RUNS || ["done", "not-run", "unknown"].iter().all(|o| seen.contains(o)));
+}
