Rosters: row document, rendezvous home, the Homes trait, joining by compare-and-set

Cause: claims need the home of a key before the roster protocol is whole. Change: crates/roster has the document of the row roster/<service>, home() by rendezvous hashing over names (a restart keeps its keys), and the trait Homes. Agents join the row by compare-and-set at a poll; entries read it at theirs. Tests: even spread at 3 and 11, only the lost member's keys move.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -4,6 +4,7 @@
 use base::{Event, clock_micros};
 use conf::AgentSettings;
 use log::LevelFilter;
+use plat::HttpPlatform;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -15,6 +16,7 @@
     Error, Result, cli,
     greet::{Greeter, Identity},
     http,
+    peers::Peers,
     rpc::AgentRpc,
     run::{Drain, Inspect, Runner},
 };
@@ -39,6 +41,9 @@
     let listener = listen(settings.rpc).await?;
     let runner = Runner::new(&settings).start();
     let identity = Identity::new(&settings, clock_micros());
+    let platform = Rc::new(HttpPlatform::new(&settings.platform));
+    let poll = Duration::from_millis(settings.beat_ms);
+    let peers = Peers::new(identity.member(), &settings.service, platform, poll);
     let greeter = Greeter::new(&settings, identity, runner.clone());
 
     let rpc = AgentRpc::new(runner.clone(), greeter.clone());
@@ -46,6 +51,7 @@
     let gate = capnp_rpc::new_client(door);
     actix::spawn(wire::serve(listener, gate));
     let server = http::start(settings.http, runner.clone())?;
+    actix::spawn(peers.run());
     greeter.start();
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
 
--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix::Addr;
-use base::{Event, Name, Token};
+use base::{Event, Member, Name, Token};
 use conf::AgentSettings;
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
@@ -31,6 +31,17 @@
             service: settings.service.clone(),
         }
     }
+
+    /// How a roster lists this agent.
+    pub fn member(&self) -> Member {
+        Member {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            centre: self.centre.clone(),
+            rack: self.rack.clone(),
+        }
+    }
 }
 
 /// Greets every entry at each beat, and learns of further entries.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod greet;
 mod http;
+mod peers;
 mod rpc;
 mod run;
 
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Error, Result, cli,
-    fleet::{Agents, Current, Watcher},
+    fleet::{Agents, Current, Rosters, Watcher},
     http,
     rpc::EntryRpc,
 };
@@ -31,6 +31,7 @@
     pub settings: Arc<EntrySettings>,
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
+    pub rosters: Arc<Rosters>,
     /// false from the start of a graceful shutdown
     pub ready: Arc<AtomicBool>,
 }
@@ -53,6 +54,7 @@
     let shared = Shared {
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
+        rosters: Arc::default(),
         ready: Arc::new(AtomicBool::new(true)),
         settings: Arc::new(settings),
     };
@@ -66,6 +68,8 @@
     actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
+    let rosters = shared.rosters.clone();
+    actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
     actix::spawn(Watcher::new(platform, shared.fleet.clone(), poll).run());
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -3,8 +3,10 @@
 
 mod agents;
 mod current;
+mod rosters;
 mod watcher;
 
 pub use agents::Agents;
 pub use current::Current;
+pub use rosters::Rosters;
 pub use watcher::Watcher;
--- /dev/null
+++ b/crates/entry/src/fleet/rosters.rs
@@ -0,0 +1,54 @@
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use base::Name;
+use plat::Table;
+use roster::Roster;
+use tokio::time::sleep;
+
+use super::Current;
+
+/// The rosters this entry knows, one a service; an epoch never falls.
+#[derive(Default)]
+pub struct Rosters {
+    known: RwLock<BTreeMap<Name, Arc<Roster>>>,
+}
+
+impl Rosters {
+    /// The roster of a service; an empty one when none is known.
+    pub fn get(&self, service: &str) -> Arc<Roster> {
+        let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
+        known.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Takes a newer document; an older one is left aside.
+    pub fn offer(&self, service: &Name, roster: Roster) {
+        let rank = |r: &Roster| (r.epoch, r.settled);
+        if rank(&self.get(service)) >= rank(&roster) {
+            return;
+        }
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        known.insert(service.clone(), Arc::new(roster));
+    }
+
+    /// Reads the row of every service at every poll.
+    pub async fn watch(self: Arc<Self>, table: Rc<dyn Table>, fleet: Arc<Current>, poll: Duration) {
+        loop {
+            for service in fleet.get().fleet.services.keys() {
+                self.read(&*table, service).await;
+            }
+            sleep(poll).await;
+        }
+    }
+
+    async fn read(&self, table: &dyn Table, service: &Name) {
+        let Ok(row) = table.get(&Roster::row(service)).await else { return };
+        if let Ok(roster) = serde_json::from_str(&row.value) {
+            self.offer(service, roster);
+        }
+    }
+}
--- /dev/null
+++ b/crates/roster/src/document.rs
@@ -0,0 +1,95 @@
+use std::time::Instant;
+
+use base::{Member, Name, TaskId};
+use claim::Tenure;
+use serde::{Deserialize, Serialize};
+
+use crate::{Homes, home};
+
+/// The roster of a service, as its row in the platform's table holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Roster {
+    /// grows by one with every change of the members
+    pub epoch: u64,
+    pub members: Vec<Member>,
+    /// every new home holds the records of its keys
+    pub settled: bool,
+    /// members of the last settled roster, while this one is not settled
+    pub base: Vec<Member>,
+    /// members of `base` that leave as planned and hand over first
+    pub leaving: Vec<Member>,
+    /// what nobody may remember
+    pub marks: Vec<Mark>,
+    /// when the records of a member last went away, unix milliseconds
+    pub thinned_ms: Option<u64>,
+    /// losses that an operator vouches for
+    pub confirmed: Option<Confirmed>,
+    /// number of the write that made this document
+    pub change: u64,
+}
+
+/// Keys issued before this may have run with nobody left who remembers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mark {
+    pub epoch: u64,
+    /// when the change settled, unix milliseconds
+    pub at_ms: u64,
+}
+
+/// An operator's word that members are lost for good.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Confirmed {
+    pub lost: Vec<Member>,
+    pub author: Name,
+    /// what the next person on duty reads
+    pub reason: String,
+    /// unix milliseconds
+    pub at_ms: u64,
+}
+
+impl Roster {
+    /// Row of the platform's table that holds the roster of a service.
+    pub fn row(service: &str) -> String {
+        format!("roster/{service}")
+    }
+
+    /// Whether this life of this member is listed.
+    pub fn lists(&self, member: &Member) -> bool {
+        find(&self.members, member)
+    }
+
+    /// Members with the settled rights of one: they may be granted claims.
+    pub fn executors(&self) -> Vec<Member> {
+        if self.settled {
+            return self.members.clone();
+        }
+        self.members.iter().filter(|m| find(&self.base, m)).cloned().collect()
+    }
+}
+
+impl Homes for Roster {
+    fn home(&self, id: &TaskId) -> Option<Member> {
+        home(&self.members, id).cloned()
+    }
+
+    /// A document alone gives no right to act.
+    fn tenure(&self, _: &TaskId, _: Instant) -> Tenure {
+        Tenure::NotHome { epoch: self.epoch }
+    }
+
+    fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    fn members(&self) -> Vec<Member> {
+        self.executors()
+    }
+}
+
+/// Whether a list has this life of this member.
+pub(crate) fn find(list: &[Member], member: &Member) -> bool {
+    list.iter().any(|m| m.name == member.name && m.incarnation == member.incarnation)
+}
--- /dev/null
+++ b/crates/roster/src/homes.rs
@@ -0,0 +1,19 @@
+use std::time::Instant;
+
+use base::{Member, TaskId};
+use claim::Tenure;
+
+/// What the rest of a program asks of the roster.
+pub trait Homes {
+    /// The home of a task; `None` while the roster is empty or unknown.
+    fn home(&self, id: &TaskId) -> Option<Member>;
+
+    /// Whether this process may act as home for a task at this moment.
+    fn tenure(&self, id: &TaskId, now: Instant) -> Tenure;
+
+    /// Epoch of the roster known here, 0 when there is none.
+    fn epoch(&self) -> u64;
+
+    /// Members that may be granted claims.
+    fn members(&self) -> Vec<Member>;
+}
