--- a/crates/agent/src/peers/roster.rs
+++ b/crates/agent/src/peers/roster.rs
@@ -60,7 +60,9 @@
         let known = self.known.borrow();
         let epoch = known.epoch;
         match roster::home(&known.members, id) {
-            Some(home) if *home == self.me => Tenure::Home { epoch, since: 1, unsure_before: None },
+            Some(home) if *home == self.me => {
+                Tenure::Home { epoch, since: 1, unsure_before: None, barred_before: None }
+            }
             _ => Tenure::NotHome { epoch },
         }
     }
--- a/crates/claim/src/grant.rs
+++ b/crates/claim/src/grant.rs
@@ -49,13 +49,20 @@
     Full,
 }
 
-/// A claim that is held, as the executor hands it to a new home.
+/// What a new home is told of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     pub claim: Claim,
-    pub holder: Holder,
-    /// roster in force when it was granted
-    pub epoch: u64,
+    pub state: State,
+}
+
+/// What has become of a key at its home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// an executor may start it
+    Held(Holder),
+    /// calls begun before this unix time, in milliseconds, may not start it
+    Barred(u64),
 }
 
 /// How an executor gives up a claim before the start.
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -12,7 +12,7 @@
 mod tenure;
 
 pub use call::{Call, Event, Step};
-pub use grant::{Claim, Grant, Holder, Record, Release};
+pub use grant::{Claim, Grant, Holder, Record, Release, State};
 pub use limits::{Limits, Now};
 pub use records::{Records, Seen, Stage};
 pub use table::{Found, Table};
--- a/crates/claim/src/records.rs
+++ b/crates/claim/src/records.rs
@@ -2,7 +2,7 @@
 
 use base::{Answer, Digest, TaskId, invariant};
 
-use crate::{Claim, Holder, Limits, Now, Record, sweep::Sweep};
+use crate::{Claim, Holder, Limits, Now, Record, Release, State, sweep::Sweep};
 
 /// What an executor knows of its tasks.
 pub struct Records {
@@ -16,7 +16,6 @@
 
 struct Row {
     claim: Claim,
-    epoch: u64,
     stage: Stage,
     /// when the row may go; never before its end
     until: Option<Duration>,
@@ -32,7 +31,11 @@
     Running,
     Over(Answer),
     /// given up before its start; the home has yet to hear it
-    GivenUp,
+    GivenUp {
+        release: Release,
+        /// unix milliseconds
+        at: u64,
+    },
 }
 
 /// What an executor says to an offer of a task.
@@ -58,7 +61,7 @@
             None => Seen::New,
             Some(row) if row.claim.digest != digest => Seen::Conflict,
             Some(Row { stage: Stage::Over(answer), .. }) => Seen::Over(answer),
-            Some(Row { stage: Stage::GivenUp, .. }) => Seen::GivenUp,
+            Some(Row { stage: Stage::GivenUp { .. }, .. }) => Seen::GivenUp,
             Some(_) => Seen::Waiting,
         }
     }
@@ -78,17 +81,16 @@
         self.asks += 1;
         let claim = Claim { ask: self.asks, ..claim };
         self.bytes += weight(&claim);
-        let row = Row { claim: claim.clone(), epoch: 0, stage: Stage::Asked, until: None };
+        let row = Row { claim: claim.clone(), stage: Stage::Asked, until: None };
         self.rows.insert(claim.id.clone(), row);
         claim
     }
 
     /// Takes the home's grant. When false, nothing waits for it any more and
     /// the claim must be released.
-    pub fn granted(&mut self, claim: &Claim, epoch: u64) -> bool {
+    pub fn granted(&mut self, claim: &Claim) -> bool {
         let Some(row) = self.asked(claim) else { return false };
         row.stage = Stage::Queued;
-        row.epoch = epoch;
         true
     }
 
@@ -128,7 +130,7 @@
 
     /// Gives a task up that has not started; a claim that was held must be
     /// released.
-    pub fn give_up(&mut self, id: &TaskId) -> Option<Claim> {
+    pub fn give_up(&mut self, id: &TaskId, release: Release, now: Now) -> Option<Claim> {
         let row = self.rows.get_mut(id)?;
         match row.stage {
             Stage::Asked => {
@@ -136,26 +138,27 @@
                 None
             }
             Stage::Queued => {
-                row.stage = Stage::GivenUp;
+                row.stage = Stage::GivenUp { release, at: now.wall };
                 Some(row.claim.clone())
             }
-            Stage::Running | Stage::Over(_) | Stage::GivenUp => None,
+            Stage::Running | Stage::Over(_) | Stage::GivenUp { .. } => None,
         }
     }
 
     /// Gives a task up whose backend server could not be reached: nothing was
-    /// sent. Its claim must be released.
-    pub fn unsent(&mut self, id: &TaskId) -> Option<Claim> {
+    /// sent. Its claim must be released to be placed elsewhere.
+    pub fn unsent(&mut self, id: &TaskId, now: Now) -> Option<Claim> {
         let row = self.rows.get_mut(id)?;
         invariant!(row.stage == Stage::Running, "{id} was not being sent");
-        row.stage = Stage::GivenUp;
+        row.stage = Stage::GivenUp { release: Release::Free, at: now.wall };
         Some(row.claim.clone())
     }
 
     /// Forgets a task that was given up, once the home has heard it.
     pub fn released(&mut self, claim: &Claim) {
         let Some(row) = self.rows.get(&claim.id) else { return };
-        if row.stage == Stage::GivenUp && row.claim.ask == claim.ask {
+        let given_up = matches!(row.stage, Stage::GivenUp { .. });
+        if given_up && row.claim.ask == claim.ask {
             self.remove(&claim.id);
         }
     }
@@ -168,7 +171,11 @@
         for (id, row) in self.rows.iter().filter(|(id, _)| moved(id)) {
             match row.stage {
                 Stage::Asked => void.push(id.clone()),
-                Stage::GivenUp => {}
+                Stage::GivenUp { release: Release::Free, .. } => {}
+                Stage::GivenUp { release: Release::Bar, at } => {
+                    let claim = row.claim.clone();
+                    records.push(Record { claim, state: State::Barred(at) });
+                }
                 _ => records.push(self.record(row)),
             }
         }
@@ -202,7 +209,7 @@
     }
 
     fn record(&self, row: &Row) -> Record {
-        Record { claim: row.claim.clone(), holder: self.me.clone(), epoch: row.epoch }
+        Record { claim: row.claim.clone(), state: State::Held(self.me.clone()) }
     }
 
     fn asked(&mut self, claim: &Claim) -> Option<&mut Row> {
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -1,4 +1,5 @@
 use std::{
+    cmp::Ordering,
     collections::{HashMap, hash_map::Entry},
     mem::size_of,
     time::Duration,
@@ -6,7 +7,7 @@
 
 use base::{TaskId, invariant};
 
-use crate::{Claim, Grant, Holder, Limits, Now, Record, Release, Tenure, sweep::Sweep};
+use crate::{Claim, Grant, Holder, Limits, Now, Record, Release, State, Tenure, sweep::Sweep};
 
 /// Share of the room that only bars may use.
 const BAR_SHARE: usize = 10;
@@ -24,14 +25,11 @@
     /// tenure the row was made in
     since: u64,
     until: Duration,
-    state: State,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum State {
-    Held(Holder),
+    holder: Option<Holder>,
     /// calls begun before this unix time, in milliseconds, may not start it
-    Barred(u64),
+    barred: Option<u64>,
+    /// nobody held it when it was barred here, in this tenure
+    certain: bool,
 }
 
 /// What a home knows of a key.
@@ -53,35 +51,24 @@
         if self.is_stale(&claim, now) {
             return Grant::Barred;
         }
-        let skew = self.limits.skew.as_millis() as u64;
-        match self.current(&claim.id, since) {
-            None if is_unsure(tenure, &claim) => return unsure(),
-            None => {}
-            Some(Row { claim: held, state: State::Held(holder), .. }) => {
-                if held.digest != claim.digest {
-                    return Grant::Conflict;
-                }
-                if holder != by {
-                    return Grant::Held(holder.clone());
-                }
-                // an older one overtaken by a newer one was given up
-                if claim.ask < held.ask {
-                    return Grant::Barred;
-                }
-                held.ask = claim.ask;
-                return Grant::Granted { epoch };
-            }
-            Some(Row { state: State::Barred(at), .. })
-                if claim.started < at.saturating_add(skew) =>
-            {
-                return Grant::Barred;
-            }
-            Some(_) => {}
+        let skew = self.skew();
+        let mut row = self.current(&claim.id, since);
+        if let Some(grant) = row.as_mut().and_then(|row| row.reclaim(by, &claim, epoch)) {
+            return grant;
+        }
+        let certain = row.as_ref().is_some_and(|row| row.certain);
+        let barred = row.and_then(|row| row.barred);
+        if !certain && is_unsure(tenure, &claim) {
+            return unsure();
+        }
+        if began_before(&claim, barred.max(barred_before(tenure)), skew) {
+            return Grant::Barred;
         }
         if self.is_full(&claim, BAR_SHARE) {
             return Grant::Full;
         }
-        self.put(claim, since, State::Held(by.clone()), now);
+        let row = self.put(claim, since, now);
+        row.holder = Some(by.clone());
         Grant::Granted { epoch }
     }
 
@@ -95,18 +82,19 @@
         now: Now,
     ) {
         let Tenure::Home { since, .. } = tenure else { return };
-        if let Some(row) = self.current(&claim.id, since) {
-            let held = matches!(&row.state, State::Held(holder) if holder == by);
-            if !held || row.claim.ask != claim.ask {
-                return;
-            }
-        } else if is_unsure(tenure, claim) {
-            return;
+        match self.current(&claim.id, since) {
+            Some(row) if row.holder.as_ref() != Some(by) || row.claim.ask != claim.ask => return,
+            Some(row) => row.holder = None,
+            None if is_unsure(tenure, claim) => return,
+            None => {}
         }
-        match release {
-            Release::Free => self.remove(&claim.id),
+        if release == Release::Bar {
             // no more room than the claim itself had
-            Release::Bar => self.put(claim.clone(), since, State::Barred(now.wall), now),
+            self.put(claim.clone(), since, now).bar(now);
+            return;
+        }
+        if self.current(&claim.id, since).is_some_and(|row| row.barred.is_none()) {
+            self.remove(&claim.id);
         }
     }
 
@@ -123,33 +111,55 @@
         }
         let count = found.count;
         let claim = Claim { count: claim.count.max(count.unwrap_or(0)), ..claim };
-        self.put(claim, since, State::Barred(now.wall), now);
+        self.put(claim, since, now).bar(now);
         Found { grant: Grant::Barred, count }
     }
 
     /// Tells who holds the claim.
     pub fn look(&mut self, tenure: Tenure, claim: &Claim) -> Found {
         let Tenure::Home { since, .. } = tenure else { return nothing(not_home(tenure)) };
-        let skew = self.limits.skew.as_millis() as u64;
-        let Some(row) = self.current(&claim.id, since) else {
-            return nothing(if is_unsure(tenure, claim) { unsure() } else { Grant::Free });
-        };
-        let grant = match &row.state {
-            State::Held(holder) => Grant::Held(holder.clone()),
-            State::Barred(at) if claim.started < at.saturating_add(skew) => Grant::Barred,
-            State::Barred(_) => Grant::Free,
-        };
-        Found { grant, count: Some(row.claim.count) }
+        let skew = self.skew();
+        let row = self.current(&claim.id, since);
+        let count = row.as_ref().map(|row| row.claim.count);
+        if let Some(holder) = row.as_ref().and_then(|row| row.holder.clone()) {
+            return Found { grant: Grant::Held(holder), count };
+        }
+        let certain = row.as_ref().is_some_and(|row| row.certain);
+        let barred = row.and_then(|row| row.barred);
+        if !certain && is_unsure(tenure, claim) {
+            return nothing(unsure());
+        }
+        if began_before(claim, barred.max(barred_before(tenure)), skew) {
+            return Found { grant: Grant::Barred, count };
+        }
+        Found { grant: Grant::Free, count }
     }
 
-    /// Takes over a claim that was granted by an earlier home.
+    /// Takes over what an earlier home or an executor knows.
     pub fn adopt(&mut self, record: Record, since: u64, now: Now) {
-        let Record { claim, holder, .. } = record;
-        if let Some(Row { state: State::Held(known), .. }) = self.current(&claim.id, since) {
-            invariant!(*known == holder, "{} is held by {known:?} and {holder:?}", claim.id);
-            return;
+        let Record { claim, state } = record;
+        let id = claim.id.clone();
+        let known = self.current(&id, since).and_then(|row| row.holder.clone());
+        let row = match (&state, &known) {
+            // the claim that is held stays what the row tells of
+            (State::Barred(_), Some(_)) => self.current(&id, since),
+            _ => Some(self.put(claim, since, now)),
+        };
+        let Some(row) = row else { return };
+        match state {
+            State::Barred(at) => row.barred = row.barred.max(Some(at)),
+            State::Held(holder) => {
+                let same = known.is_none_or(|known| known == holder);
+                invariant!(same, "{id} is held by {holder:?} and another");
+                row.holder = Some(holder);
+            }
         }
-        self.put(claim, since, State::Held(holder), now);
+    }
+
+    /// What a new home must know of the keys that move to it.
+    pub fn hand_over(&self, moved: impl Fn(&TaskId) -> bool) -> Vec<Record> {
+        let moved = self.rows.values().filter(|row| moved(&row.claim.id));
+        moved.flat_map(Row::records).collect()
     }
 
     /// Drops what was claimed in a tenure that has ended; `since` tells the
@@ -208,19 +218,25 @@
             || self.bytes + weight(claim) > room(self.limits.bytes)
     }
 
-    fn put(&mut self, claim: Claim, since: u64, state: State, now: Now) {
+    fn skew(&self) -> u64 {
+        self.limits.skew.as_millis() as u64
+    }
+
+    /// Writes the claim into the row of its key; who holds it and what is
+    /// barred stay as they were.
+    fn put(&mut self, claim: Claim, since: u64, now: Now) -> &mut Row {
         let until = now.tick + self.limits.retention;
-        let id = claim.id.clone();
-        self.sweep.push(until, id.clone());
-        self.bytes += weight(&claim);
-        let row = Row { claim, since, until, state };
-        match self.rows.entry(id) {
-            Entry::Occupied(mut old) => {
-                let old = old.insert(row);
-                self.bytes -= weight(&old.claim);
+        self.sweep.push(until, claim.id.clone());
+        match self.rows.entry(claim.id.clone()) {
+            Entry::Occupied(row) => {
+                let row = row.into_mut();
+                row.claim = claim;
+                row.until = until;
+                row
             }
             Entry::Vacant(free) => {
-                free.insert(row);
+                self.bytes += weight(&claim);
+                free.insert(Row { claim, since, until, holder: None, barred: None, certain: false })
             }
         }
     }
@@ -232,11 +248,56 @@
     }
 }
 
+impl Row {
+    /// The word to an executor that asks for what is held. `None` when the
+    /// claim is free: an executor that asks anew has given its claim up.
+    fn reclaim(&mut self, by: &Holder, claim: &Claim, epoch: u64) -> Option<Grant> {
+        let holder = self.holder.as_ref()?;
+        if self.claim.digest != claim.digest {
+            return Some(Grant::Conflict);
+        }
+        if holder != by {
+            return Some(Grant::Held(holder.clone()));
+        }
+        match claim.ask.cmp(&self.claim.ask) {
+            Ordering::Less => Some(Grant::Barred),
+            Ordering::Equal => Some(Grant::Granted { epoch }),
+            Ordering::Greater => {
+                self.holder = None;
+                self.certain = true;
+                None
+            }
+        }
+    }
+
+    fn bar(&mut self, now: Now) {
+        self.barred = Some(now.wall);
+        self.certain = true;
+    }
+
+    fn records(&self) -> impl Iterator<Item = Record> {
+        let held = self.holder.clone().map(State::Held);
+        let states = held.into_iter().chain(self.barred.map(State::Barred));
+        states.map(|state| Record { claim: self.claim.clone(), state })
+    }
+}
+
 fn is_unsure(tenure: Tenure, claim: &Claim) -> bool {
     let Tenure::Home { unsure_before: Some(before), .. } = tenure else { return false };
     claim.issued.is_none_or(|issued| issued < before)
 }
 
+fn barred_before(tenure: Tenure) -> Option<u64> {
+    let Tenure::Home { barred_before, .. } = tenure else { return None };
+    barred_before
+}
+
+/// Whether a call began before a moment, or so little after it that the
+/// clocks can't tell.
+fn began_before(claim: &Claim, moment: Option<u64>, skew: u64) -> bool {
+    moment.is_some_and(|at| claim.started < at.saturating_add(skew))
+}
+
 fn not_home(tenure: Tenure) -> Grant {
     let (Tenure::NotHome { epoch } | Tenure::Home { epoch, .. }) = tenure;
     Grant::NotHome { epoch }
--- a/crates/claim/src/tenure.rs
+++ b/crates/claim/src/tenure.rs
@@ -11,6 +11,9 @@
         /// a key unseen here and issued before this unix time, in milliseconds,
         /// or with no issue time, may have run already
         unsure_before: Option<u64>,
+        /// a call begun before this unix time, in milliseconds, may have been
+        /// barred by an earlier home that did not hand its bars over
+        barred_before: Option<u64>,
     },
     /// is not the home, or has no permit now
     NotHome { epoch: u64 },
