--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -2,11 +2,10 @@
 //! in force.
 
 mod agents;
-mod current;
 mod rosters;
 mod watcher;
 
 pub use agents::Agents;
-pub use current::Current;
+pub use conf::Current;
 pub use rosters::Rosters;
 pub use watcher::Watcher;
