--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix::{Actor, Addr};
 use base::{Event, clock_micros};
@@ -15,13 +19,16 @@
 use crate::{
     Error, Result, cli,
     greet::{Greeter, Identity},
+    home::{Claimer, Clock, Desk, holder},
     http,
     peers::Peers,
     rpc::AgentRpc,
-    run::{Drain, Inspect, Runner},
+    run::{Claims, Drain, Inspect, Runner},
 };
 
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Longest wait at a stop for homes to hear of claims given up.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Runs an agent until it is told to stop.
 pub fn run() -> eyre::Result<()> {
@@ -39,14 +46,19 @@
 async fn serve(settings: AgentSettings) -> Result<()> {
     let settings = Rc::new(settings);
     let listener = listen(settings.rpc).await?;
-    let runner = Runner::new(&settings).start();
     let identity = Identity::new(&settings, clock_micros());
     let platform = Rc::new(HttpPlatform::new(&settings.platform));
     let poll = Duration::from_millis(settings.beat_ms);
-    let peers = Peers::new(identity.member(), &settings.service, platform, poll);
+    let me = identity.member();
+    let peers = Peers::new(me.clone(), &settings.service, platform, poll);
+    let clock = Clock::new();
+    let desk = Rc::new(Desk::new(&settings, me.clone(), peers.clone(), clock));
+    let claimer = Claimer::new(me.clone(), peers.clone(), desk.clone(), settings.token.clone());
+    let claims = Claims { me: holder(&me), claimer: claimer.clone(), desk: desk.clone(), clock };
+    let runner = Runner::new(&settings, claims).start();
     let greeter = Greeter::new(&settings, identity, runner.clone());
 
-    let rpc = AgentRpc::new(runner.clone(), greeter.clone());
+    let rpc = AgentRpc::new(runner.clone(), greeter.clone(), desk);
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     actix::spawn(wire::serve(listener, door));
     let server = http::start(settings.http, runner.clone())?;
@@ -58,7 +70,7 @@
     Event::Stopping.log(format_args!("{}", settings.name));
     runner.do_send(Drain::On);
     greeter.greet_now().await;
-    idle(&runner).await;
+    idle(&runner, &claimer).await;
     server.stop(true).await;
     Event::Stopped.log(format_args!("{}", settings.name));
     Ok(())
@@ -80,13 +92,18 @@
     }
 }
 
-/// Waits until nothing is queued or runs, and the last answers have left.
-async fn idle(runner: &Addr<Runner>) {
+/// Waits until nothing is queued or runs, the homes have heard of claims given
+/// up, and the last answers have left.
+async fn idle(runner: &Addr<Runner>, claimer: &Claimer) {
     while let Ok(load) = runner.send(Inspect).await {
         sleep(DRAIN_POLL).await;
         if load.queued == 0 && load.running == 0 {
             break;
         }
     }
+    let end = Instant::now() + RELEASE_LIMIT;
+    while claimer.releasing() > 0 && Instant::now() < end {
+        sleep(DRAIN_POLL).await;
+    }
     sleep(DRAIN_POLL).await;
 }
--- /dev/null
+++ b/crates/agent/src/home/claimer.rs
@@ -0,0 +1,162 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Event, Member, Token};
+use claim::{Claim, Grant, Release};
+use roster::Homes;
+use tokio::{
+    sync::oneshot,
+    task::yield_now,
+    time::{sleep, timeout},
+};
+use wire::{Links, read_grant, write_claim, write_member};
+
+use super::Desk;
+
+/// Longest wait for the home's word on a claim.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+const RELEASE_PAUSE: Duration = Duration::from_millis(100);
+const MAX_RELEASE_PAUSE: Duration = Duration::from_secs(2);
+/// A release that no home took by then is of no more use.
+const RELEASE_TRIES: u32 = 300;
+
+/// Asks the homes of keys for claims, many to one home in one message.
+#[derive(Clone)]
+pub struct Claimer {
+    state: Rc<State>,
+}
+
+struct State {
+    me: Member,
+    homes: Rc<dyn Homes>,
+    desk: Rc<Desk>,
+    links: Links,
+    waiting: RefCell<HashMap<SocketAddr, Vec<Ask>>>,
+    releasing: Cell<usize>,
+}
+
+struct Ask {
+    claim: Claim,
+    reply: oneshot::Sender<Grant>,
+}
+
+impl Claimer {
+    pub fn new(me: Member, homes: Rc<dyn Homes>, desk: Rc<Desk>, token: Token) -> Self {
+        let state = State {
+            me,
+            homes,
+            desk,
+            links: Links::new(token),
+            waiting: RefCell::default(),
+            releasing: Cell::new(0),
+        };
+        Self { state: Rc::new(state) }
+    }
+
+    /// The home's word on a claim; `None` when it gave none in time, and may
+    /// have granted it all the same.
+    pub async fn ask(&self, claim: Claim) -> Option<Grant> {
+        let Some(home) = self.state.homes.home(&claim.id) else {
+            return Some(Grant::NotHome { epoch: self.state.homes.epoch() });
+        };
+        if home.name == self.state.me.name {
+            return Some(self.state.desk.claim(&self.state.me, claim));
+        }
+        let (reply, grant) = oneshot::channel();
+        self.enqueue(home.address, Ask { claim, reply });
+        timeout(ASK_TIMEOUT, grant).await.ok()?.ok()
+    }
+
+    /// Gives a claim back; tries until the home has heard it.
+    pub async fn release(&self, claim: &Claim, release: Release) {
+        self.state.releasing.update(|n| n + 1);
+        let mut pause = RELEASE_PAUSE;
+        for _ in 0..RELEASE_TRIES {
+            if let Ok(Ok(())) = timeout(RELEASE_TIMEOUT, self.try_release(claim, release)).await {
+                break;
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_RELEASE_PAUSE);
+        }
+        self.state.releasing.update(|n| n - 1);
+    }
+
+    /// Claims given up that no home has heard of yet.
+    pub fn releasing(&self) -> usize {
+        self.state.releasing.get()
+    }
+
+    fn enqueue(&self, home: SocketAddr, ask: Ask) {
+        let mut waiting = self.state.waiting.borrow_mut();
+        let batch = waiting.entry(home).or_default();
+        batch.push(ask);
+        if batch.len() == 1 {
+            actix::spawn(self.clone().flush(home));
+        }
+    }
+
+    /// Sends what has come together for one home.
+    async fn flush(self, home: SocketAddr) {
+        // other tasks that are ready now may ask the same home
+        yield_now().await;
+        let batch = self.state.waiting.borrow_mut().remove(&home).unwrap_or_default();
+        match self.claim(home, &batch).await {
+            Ok(grants) => self.hand_out(batch, grants),
+            Err(e) => Event::HomeSilent.log(format_args!("{home}: {e}")),
+        }
+    }
+
+    fn hand_out(&self, batch: Vec<Ask>, grants: Vec<Grant>) {
+        for (ask, grant) in batch.into_iter().zip(grants) {
+            let Err(grant) = ask.reply.send(grant) else { continue };
+            if grant == Grant::Granted {
+                self.give_back(ask.claim);
+            }
+        }
+    }
+
+    /// Nobody waits for the grant any more.
+    fn give_back(&self, claim: Claim) {
+        let claimer = self.clone();
+        actix::spawn(async move { claimer.release(&claim, Release::Free).await });
+    }
+
+    async fn claim(&self, home: SocketAddr, batch: &[Ask]) -> wire::Result<Vec<Grant>> {
+        let link = self.state.links.get(home).await?;
+        let mut req = link.agent()?.claim_request();
+        req.get().set_epoch(self.state.homes.epoch());
+        write_member(req.get().init_executor(), &self.state.me);
+        let mut claims = req.get().init_claims(batch.len() as u32);
+        for (i, ask) in (0..).zip(batch) {
+            write_claim(claims.reborrow().get(i), &ask.claim);
+        }
+        let res = req.send().promise.await?;
+        let grants = res.get()?.get_grants()?;
+        grants.iter().map(|grant| Ok(read_grant(grant)?.grant)).collect()
+    }
+
+    async fn try_release(&self, claim: &Claim, release: Release) -> wire::Result<()> {
+        let state = &self.state;
+        let Some(home) = state.homes.home(&claim.id) else {
+            return Err(wire::Error::Lost("no home is known".to_owned()));
+        };
+        if home.name == state.me.name {
+            let heard = state.desk.release(&state.me, claim, release);
+            return heard.then_some(()).ok_or_else(|| wire::Error::Lost("not home now".to_owned()));
+        }
+        let link = state.links.get(home.address).await?;
+        let mut req = link.agent()?.release_request();
+        req.get().set_epoch(state.homes.epoch());
+        write_member(req.get().init_executor(), &state.me);
+        write_claim(req.get().init_claims(1).get(0), claim);
+        req.get().init_bars(1).set(0, release == Release::Bar);
+        req.send().promise.await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agent/src/home/clock.rs
@@ -0,0 +1,35 @@
+use std::time::{Duration, Instant};
+
+use base::now_ms;
+use claim::{Limits, Now};
+use conf::AgentSettings;
+
+/// Longest deadline of a call, with what a slow link may add.
+const LONGEST_CALL: Duration = Duration::from_secs(660);
+
+/// Both clocks of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        Self { started: Instant::now() }
+    }
+
+    pub fn now(&self) -> Now {
+        Now { tick: self.started.elapsed(), wall: now_ms() }
+    }
+}
+
+/// Limits of claims and records, from the settings.
+pub fn limits(settings: &AgentSettings) -> Limits {
+    Limits {
+        retention: Duration::from_millis(settings.retention_ms),
+        call: LONGEST_CALL,
+        skew: Duration::from_millis(settings.skew_ms),
+        entries: settings.records,
+        bytes: settings.record_bytes,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/home/desk.rs
@@ -0,0 +1,67 @@
+use std::{cell::RefCell, rc::Rc, time::Instant};
+
+use base::Member;
+use claim::{Claim, Found, Grant, Holder, Release, Table};
+use conf::AgentSettings;
+use roster::Homes;
+
+use super::{Clock, limits};
+
+/// Grants claims of the keys that this agent is home of.
+pub struct Desk {
+    me: Member,
+    homes: Rc<dyn Homes>,
+    table: RefCell<Table>,
+    clock: Clock,
+}
+
+impl Desk {
+    pub fn new(settings: &AgentSettings, me: Member, homes: Rc<dyn Homes>, clock: Clock) -> Self {
+        Self { me, homes, table: RefCell::new(Table::new(limits(settings))), clock }
+    }
+
+    /// Answers an executor that asks for a claim.
+    pub fn claim(&self, by: &Member, claim: Claim) -> Grant {
+        if !self.may_hold(by) {
+            return Grant::NotHome { epoch: self.homes.epoch() };
+        }
+        let tenure = self.homes.tenure(&claim.id, Instant::now());
+        self.table.borrow_mut().claim(tenure, &holder(by), claim, self.clock.now())
+    }
+
+    /// Takes back a claim that was given up before the start. When false,
+    /// this is not the home and the release was not heard.
+    pub fn release(&self, by: &Member, claim: &Claim, release: Release) -> bool {
+        let tenure = self.homes.tenure(&claim.id, Instant::now());
+        self.table.borrow_mut().release(tenure, &holder(by), claim, release, self.clock.now())
+    }
+
+    /// Tells who holds a claim.
+    pub fn look(&self, claim: &Claim) -> Found {
+        let tenure = self.homes.tenure(&claim.id, Instant::now());
+        self.table.borrow_mut().look(tenure, claim)
+    }
+
+    /// Tells who holds a claim, and bars the calls begun so far if nobody does.
+    pub fn bar(&self, claim: Claim) -> Found {
+        let tenure = self.homes.tenure(&claim.id, Instant::now());
+        self.table.borrow_mut().bar(tenure, claim, self.clock.now())
+    }
+
+    /// Drops claims that were kept for their time.
+    pub fn expire(&self) {
+        self.table.borrow_mut().expire(self.clock.now());
+    }
+
+    /// A stranger's record could not be collected by the next home; and the
+    /// loss of one VM must not take the claim and the record of the start.
+    fn may_hold(&self, by: &Member) -> bool {
+        let members = self.homes.members();
+        let listed = members.iter().any(|m| m.name == by.name && m.incarnation == by.incarnation);
+        listed && (by.name != self.me.name || members.len() == 1)
+    }
+}
+
+pub fn holder(member: &Member) -> Holder {
+    Holder { name: member.name.clone(), incarnation: member.incarnation }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 mod app;
 mod cli;
 mod greet;
+mod home;
 mod http;
 mod peers;
 mod rpc;
--- a/crates/agent/src/rpc.rs
+++ b/crates/agent/src/rpc.rs
@@ -1,26 +1,41 @@
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix::Addr;
 use capnp::Error;
+use claim::{Found, Release, Stage};
 use wire::{
-    egret_capnp::agent::{self, DrainParams, DrainResults, RunParams, RunResults},
-    read_task, write_load, write_reply,
+    Reply,
+    egret_capnp::{
+        Stage as WireStage,
+        agent::{
+            self, AttachParams, AttachResults, BarParams, BarResults, CancelParams, CancelResults,
+            ClaimParams, ClaimResults, DrainParams, DrainResults, ReleaseParams, ReleaseResults,
+            RunParams, RunResults, StatusParams, StatusResults,
+        },
+        reply,
+    },
+    read_claim, read_id, read_ids, read_member, read_task, write_grant, write_load, write_reply,
 };
 
 use crate::{
     greet::Greeter,
-    run::{Drain, Inspect, Offer, Runner},
+    home::Desk,
+    run::{Attach, Cancel, Drain, Inspect, Offer, Response, Runner, Status},
 };
 
 /// What entries and other agents may ask of this agent.
 pub struct AgentRpc {
     runner: Addr<Runner>,
     greeter: Greeter,
+    desk: Rc<Desk>,
 }
 
 impl AgentRpc {
-    pub fn new(runner: Addr<Runner>, greeter: Greeter) -> Self {
-        Self { runner, greeter }
+    pub fn new(runner: Addr<Runner>, greeter: Greeter, desk: Rc<Desk>) -> Self {
+        Self { runner, greeter, desk }
     }
 }
 
@@ -28,9 +43,99 @@
     async fn run(self: Rc<Self>, params: RunParams, mut results: RunResults) -> Result<(), Error> {
         let task = read_task(params.get()?.get_task()?, Instant::now()).map_err(fail)?;
         let response = self.runner.send(Offer(task)).await.map_err(fail)?;
-        let mut to = results.get().init_reply();
-        write_load(to.reborrow().init_load(), &response.load);
-        write_reply(to, &response.reply);
+        write_response(results.get().init_reply(), &response);
+        Ok(())
+    }
+
+    async fn attach(
+        self: Rc<Self>,
+        params: AttachParams,
+        mut results: AttachResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let left = Duration::from_millis(params.get_left_ms().into());
+        let attach = Attach {
+            id: read_id(params.get_id()?).map_err(fail)?,
+            deadline: Instant::now() + left,
+            incarnation: params.get_incarnation(),
+        };
+        let response = self.runner.send(attach).await.map_err(fail)?;
+        write_response(results.get().init_reply(), &response);
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        params: StatusParams,
+        mut results: StatusResults,
+    ) -> Result<(), Error> {
+        let id = read_id(params.get()?.get_id()?).map_err(fail)?;
+        let stage = self.runner.send(Status(id)).await.map_err(fail)?;
+        results.get().set_stage(match &stage {
+            None | Some(Stage::GivenUp { .. }) => WireStage::Unseen,
+            Some(Stage::Asked | Stage::Queued) => WireStage::Queued,
+            Some(Stage::Running) => WireStage::Running,
+            Some(Stage::Over(_)) => WireStage::Over,
+        });
+        if let Some(Stage::Over(answer)) = stage {
+            write_reply(results.get().init_reply(), &Reply::Answer(answer));
+        }
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: CancelParams,
+        mut results: CancelResults,
+    ) -> Result<(), Error> {
+        let ids = read_ids(params.get()?.get_ids()?).map_err(fail)?;
+        let stopped = self.runner.send(Cancel(ids)).await.map_err(fail)?;
+        let mut to = results.get().init_stopped(stopped.len() as u32);
+        for (i, stopped) in (0..).zip(stopped) {
+            to.set(i, stopped);
+        }
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: ClaimParams,
+        mut results: ClaimResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let by = read_member(params.get_executor()?).map_err(fail)?;
+        let claims = params.get_claims()?;
+        let mut to = results.get().init_grants(claims.len());
+        for (i, claim) in (0..).zip(claims.iter()) {
+            let grant = self.desk.claim(&by, read_claim(claim).map_err(fail)?);
+            write_grant(to.reborrow().get(i), &Found { grant, count: None });
+        }
+        Ok(())
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        params: ReleaseParams,
+        _: ReleaseResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let by = read_member(params.get_executor()?).map_err(fail)?;
+        let bars = params.get_bars()?;
+        for (i, claim) in (0..).zip(params.get_claims()?.iter()) {
+            let bar = i < bars.len() && bars.get(i);
+            let release = if bar { Release::Bar } else { Release::Free };
+            if !self.desk.release(&by, &read_claim(claim).map_err(fail)?, release) {
+                return Err(fail("not home now"));
+            }
+        }
+        Ok(())
+    }
+
+    async fn bar(self: Rc<Self>, params: BarParams, mut results: BarResults) -> Result<(), Error> {
+        let params = params.get()?;
+        let claim = read_claim(params.get_claim()?).map_err(fail)?;
+        let found = if params.get_look() { self.desk.look(&claim) } else { self.desk.bar(claim) };
+        write_grant(results.get().init_grant(), &found);
         Ok(())
     }
 
@@ -48,6 +153,11 @@
     }
 }
 
+fn write_response(mut to: reply::Builder<'_>, response: &Response) {
+    write_load(to.reborrow().init_load(), &response.load);
+    write_reply(to, &response.reply);
+}
+
 fn fail(e: impl std::fmt::Display) -> Error {
     Error::failed(e.to_string())
 }
--- a/crates/agent/src/run/message.rs
+++ b/crates/agent/src/run/message.rs
@@ -1,5 +1,8 @@
+use std::{rc::Rc, time::Instant};
+
 use actix::Message;
-use base::{Answer, Task};
+use base::{Answer, Task, TaskId};
+use claim::{Claim, Grant, Record, Stage};
 use serde::Deserialize;
 use wire::{Load, Reply};
 
@@ -8,6 +11,17 @@
 #[rtype(result = "Response")]
 pub struct Offer(pub Task);
 
+/// An entry waits for the answer of a task that was claimed here.
+#[derive(Message)]
+#[rtype(result = "Response")]
+pub struct Attach {
+    pub id: TaskId,
+    /// when the entry gives up
+    pub deadline: Instant,
+    /// life of this agent that holds the claim
+    pub incarnation: u64,
+}
+
 /// The agent's word on an offer, and how busy it is now.
 #[derive(Debug)]
 pub struct Response {
@@ -15,6 +29,23 @@
     pub load: Load,
 }
 
+/// Asks what is known here of a task.
+#[derive(Message)]
+#[rtype(result = "Option<Stage>")]
+pub struct Status(pub TaskId);
+
+/// Stops tasks that have not started; tells which were stopped.
+#[derive(Message)]
+#[rtype(result = "Vec<bool>")]
+pub struct Cancel(pub Vec<TaskId>);
+
+/// A new home asks for what it must know of the keys that moved to it.
+#[derive(Message)]
+#[rtype(result = "Vec<Record>")]
+pub struct HandOver {
+    pub moved: Rc<dyn Fn(&TaskId) -> bool>,
+}
+
 /// A backend server announces itself, or renews.
 #[derive(Clone, Debug, Deserialize, Message)]
 #[serde(deny_unknown_fields)]
@@ -47,6 +78,19 @@
 #[rtype(result = "Load")]
 pub struct Inspect;
 
+/// The home's word on a claim; none came in time when it is `None`.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct Word {
+    pub claim: Claim,
+    pub grant: Option<Grant>,
+}
+
+/// The home has heard that a claim was given up.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct Released(pub Claim);
+
 /// A task has ended on the backend server.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/run/mod.rs
+++ b/crates/agent/src/run/mod.rs
@@ -1,8 +1,12 @@
-//! Running tasks: the queue, the slots, and calls to the backend server.
+//! Running tasks: the claims, the queue, the slots, and calls to the backend
+//! server.
 
 mod backend;
 mod message;
 mod runner;
+mod waiting;
 
-pub use message::{Announce, Drain, Inspect, Leave, Offer};
-pub use runner::Runner;
+pub use message::{
+    Announce, Attach, Cancel, Drain, Inspect, Leave, Offer, Response, Status,
+};
+pub use runner::{Claims, Runner};
--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -1,7 +1,11 @@
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix::{Actor, ActorContext, AsyncContext, Context, Handler, MessageResult, ResponseFuture};
-use base::{Answer, Event, Outcome, Task, invariant};
+use base::{Answer, Event, Outcome, Task, TaskId, invariant};
+use claim::{Claim, Grant, Holder, Records, Release, Seen, Stage};
 use conf::{AgentSettings, QueueKind};
 use queue::{Ask, Class, Classed, Discipline, Fifo, Next, Refused, RunKey, Settings};
 use slab::Slab;
@@ -10,13 +14,19 @@
 
 use super::{
     backend::Backend,
-    message::{Announce, Drain, Ended, Inspect, Leave, Offer, Response},
+    message::{
+        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Leave, Offer, Released,
+        Response, Status, Word,
+    },
+    waiting::{Call, Waiting},
 };
+use crate::home::{Claimer, Clock, Desk, limits};
 
 const TICK: Duration = Duration::from_millis(100);
 /// How soon a task that has become too late is told.
 const LATE_TICK: Duration = Duration::from_millis(10);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
+const FULL_RETRY: Duration = Duration::from_secs(5);
 /// Weight of the newest run in the share of failed runs.
 const FAILING_WEIGHT: f64 = 0.1;
 
@@ -28,10 +38,17 @@
     backend: Backend,
     server: Option<Server>,
     drain: Drain,
-    queue: Box<dyn Discipline<Pending>>,
+    queue: Box<dyn Discipline<TaskId>>,
     running: Slab<Run>,
+    waiting: Waiting,
+    records: Records,
+    claimer: Claimer,
+    desk: Rc<Desk>,
+    clock: Clock,
     /// share of the newest runs that failed
     failing: f64,
+    /// a call that comes back after this began after the bar
+    bar_retry: Duration,
 }
 
 /// The backend server that announced itself.
@@ -41,19 +58,31 @@
     seen: Instant,
 }
 
-struct Pending {
-    task: Task,
-    reply: oneshot::Sender<Response>,
-}
-
 /// A task on the backend server, and the slot it takes.
 struct Run {
-    pending: Pending,
+    task: Task,
     key: RunKey,
 }
 
+/// Whether a task may be placed elsewhere after it was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GiveUp {
+    /// its entry offers it to another agent
+    Elsewhere,
+    /// its callers are told that it did not run
+    ForGood,
+}
+
+/// What the runner asks of the claims of this agent.
+pub struct Claims {
+    pub me: Holder,
+    pub claimer: Claimer,
+    pub desk: Rc<Desk>,
+    pub clock: Clock,
+}
+
 impl Runner {
-    pub fn new(settings: &AgentSettings) -> Self {
+    pub fn new(settings: &AgentSettings, claims: Claims) -> Self {
         Self {
             slots: settings.slots as usize,
             renew: Duration::from_millis(settings.renew_ms),
@@ -62,7 +91,13 @@
             drain: Drain::Off,
             queue: discipline(settings),
             running: Slab::new(),
+            waiting: Waiting::default(),
+            records: Records::new(claims.me, limits(settings)),
+            claimer: claims.claimer,
+            desk: claims.desk,
+            clock: claims.clock,
             failing: 0.0,
+            bar_retry: Duration::from_millis(2 * settings.skew_ms),
         }
     }
 
@@ -71,7 +106,8 @@
         let short = self.queue.room(Class::Short, now);
         let long = self.queue.room(Class::Long, now);
         Load {
-            queued: self.queue.queued() as u32,
+            // what waits for its claim is as good as queued
+            queued: (self.waiting.len() - self.running.len()) as u32,
             running: self.running.len() as u32,
             slots: self.slots as u32,
             backlog: short.wait,
@@ -87,17 +123,109 @@
         self.drain == Drain::Off && self.server.is_some()
     }
 
-    fn accept(&mut self, pending: Pending, ctx: &mut Context<Self>) {
+    fn accept(&mut self, task: Task, call: Call, ctx: &mut Context<Self>) {
+        if !task.keyed {
+            return self.accept_unkeyed(task, call, ctx);
+        }
+        let reply = match self.records.see(&task.id, task.digest) {
+            Seen::New => return self.accept_new(task, call, ctx),
+            Seen::Waiting => return self.attach(&task.id, call),
+            Seen::Over(answer) => Reply::Answer(answer.clone()),
+            Seen::GivenUp => declined("agent gave the task up a moment ago", RETRY_AFTER),
+            Seen::Conflict => Reply::Conflict,
+        };
+        call.answer(reply, self.load());
+    }
+
+    fn accept_unkeyed(&mut self, task: Task, call: Call, ctx: &mut Context<Self>) {
         if !self.is_ready() {
-            self.answer(pending, Answer::not_run("agent takes no new work", RETRY_AFTER));
-            return;
+            let answer = Answer::not_run("agent takes no new work", RETRY_AFTER);
+            return call.answer(Reply::Answer(answer), self.load());
+        }
+        let id = task.id.clone();
+        self.waiting.insert(task, call);
+        self.enqueue(&id, ctx);
+    }
+
+    fn accept_new(&mut self, task: Task, call: Call, ctx: &mut Context<Self>) {
+        if let Some(reply) = self.refusal(&task) {
+            return call.answer(reply, self.load());
+        }
+        let claim = self.records.ask(Claim {
+            id: task.id.clone(),
+            digest: task.digest,
+            issued: task.issued,
+            started: task.started,
+            count: task.count,
+            ask: 0,
+        });
+        self.waiting.insert(task, call);
+        let (claimer, runner) = (self.claimer.clone(), ctx.address());
+        actix::spawn(async move {
+            let grant = claimer.ask(claim.clone()).await;
+            runner.do_send(Word { claim, grant });
+        });
+    }
+
+    /// Why a new task is not taken, before its claim is asked for.
+    fn refusal(&self, task: &Task) -> Option<Reply> {
+        if !self.is_ready() {
+            return Some(declined("agent takes no new work", RETRY_AFTER));
+        }
+        if self.records.is_full() {
+            return Some(declined("agent has no room for another record", FULL_RETRY));
+        }
+        let now = Instant::now();
+        let wait = self.queue.room(Class::Short, now).wait;
+        (now + wait >= task.deadline).then(|| declined("agent can't end it in time", wait))
+    }
+
+    fn attach(&mut self, id: &TaskId, call: Call) {
+        let load = self.load();
+        if let Err(call) = self.waiting.attach(id, call) {
+            invariant!(false, "{id} has a record and no place");
+            call.answer(Reply::Answer(Answer::unknown("agent lost the task")), load);
+        }
+    }
+
+    /// Acts on the home's word.
+    fn hear(&mut self, claim: &Claim, grant: Option<Grant>, ctx: &mut Context<Self>) {
+        let id = &claim.id;
+        let granted = grant == Some(Grant::Granted);
+        if granted && self.records.granted(claim) {
+            return self.enqueue(id, ctx);
+        }
+        // no word may be a grant that was lost
+        if granted || grant.is_none() {
+            self.release(claim.clone(), Release::Free, ctx);
         }
-        let task = &pending.task;
-        let ask = Ask { operation: task.operation.clone(), deadline: task.deadline };
-        if let Err(Refused { item, retry_after }) = self.queue.push(ask, pending, Instant::now()) {
-            self.answer(item, Answer::not_run("agent can't end it in time", retry_after));
+        // a newer claim of the task is on its way
+        if !self.records.refused(claim) && self.records.stage(id).is_some() {
             return;
         }
+        let load = self.load();
+        if grant == Some(Grant::Barred) {
+            // the home's word is on the call that asked, and those before it
+            let reply = declined("an earlier call was refused", RETRY_AFTER);
+            self.waiting.answer_later(id, claim.started, &reply, load);
+        }
+        self.waiting.answer(id, &word(grant, self.bar_retry), load);
+    }
+
+    /// Queues a task that may start now.
+    fn enqueue(&mut self, id: &TaskId, ctx: &mut Context<Self>) {
+        let Some(task) = self.waiting.task(id) else { return };
+        if self.server.is_none() {
+            return self.give_up(id, GiveUp::Elsewhere, "backend server is gone", RETRY_AFTER, ctx);
+        }
+        let ask = Ask { operation: task.operation, deadline: task.deadline };
+        match self.queue.push(ask, id.clone(), Instant::now()) {
+            Ok(ticket) => self.waiting.queued(id, ticket),
+            Err(Refused { retry_after, .. }) => {
+                let reason = "agent can't end it in time";
+                return self.give_up(id, GiveUp::Elsewhere, reason, retry_after, ctx);
+            }
+        }
         self.fill(ctx);
     }
 
@@ -106,19 +234,23 @@
         while let Some(server) = &self.server {
             let url = server.url.clone();
             match self.queue.pop(Instant::now()) {
-                Next::Start(start) => self.begin(url, start.item, start.run, ctx),
-                Next::Late(pending) => {
-                    let answer = Answer::not_run("deadline too close in the queue", RETRY_AFTER);
-                    self.answer(pending, answer);
-                }
+                Next::Start(start) => self.begin(url, &start.item, start.run, ctx),
+                Next::Late(id) => self.late(&id, ctx),
                 Next::Idle => return,
             }
         }
     }
 
-    fn begin(&mut self, url: String, pending: Pending, key: RunKey, ctx: &mut Context<Self>) {
-        let task = pending.task.clone();
-        let slot = self.running.insert(Run { pending, key });
+    fn begin(&mut self, url: String, id: &TaskId, key: RunKey, ctx: &mut Context<Self>) {
+        let Some(task) = self.waiting.task(id) else {
+            invariant!(false, "{id} is queued and has no place");
+            return self.queue.end(key, None);
+        };
+        self.waiting.dequeued(id);
+        if task.keyed {
+            self.records.start(id);
+        }
+        let slot = self.running.insert(Run { task: task.clone(), key });
         invariant!(self.running.len() <= self.slots, "{} tasks run at once", self.running.len());
         let run = self.backend.clone().run(url, task);
         let runner = ctx.address();
@@ -128,28 +260,106 @@
         });
     }
 
-    fn answer(&self, pending: Pending, answer: Answer) {
-        let response = Response { reply: Reply::Answer(answer), load: self.load() };
-        // the caller may have gone
-        let _ = pending.reply.send(response);
+    /// A queued task can't end by its deadline any more; a later call may
+    /// have given it more time.
+    fn late(&mut self, id: &TaskId, ctx: &mut Context<Self>) {
+        let more = self.waiting.has_more_time(id);
+        self.waiting.dequeued(id);
+        if more {
+            return self.enqueue(id, ctx);
+        }
+        let reason = "deadline too close in the queue";
+        self.give_up(id, GiveUp::ForGood, reason, self.bar_retry, ctx);
+    }
+
+    /// Tells all calls of a task that it was not started here.
+    fn give_up(
+        &mut self,
+        id: &TaskId,
+        how: GiveUp,
+        reason: &str,
+        retry_after: Duration,
+        ctx: &mut Context<Self>,
+    ) {
+        let release = match how {
+            GiveUp::Elsewhere => Release::Free,
+            GiveUp::ForGood => Release::Bar,
+        };
+        let keyed = self.waiting.task(id).is_some_and(|task| task.keyed);
+        let claim = self.records.give_up(id, release, self.clock.now());
+        let held = claim.is_some();
+        if let Some(claim) = claim {
+            self.release(claim, release, ctx);
+        }
+        let certain = !keyed || (held && how == GiveUp::ForGood);
+        let answer = Answer::not_run(reason, retry_after);
+        let reply = if certain { Reply::Answer(answer) } else { Reply::Declined(answer) };
+        self.waiting.answer(id, &reply, self.load());
     }
 
-    fn check_renewal(&mut self) {
+    fn release(&self, claim: Claim, release: Release, ctx: &mut Context<Self>) {
+        let (claimer, runner) = (self.claimer.clone(), ctx.address());
+        actix::spawn(async move {
+            claimer.release(&claim, release).await;
+            runner.do_send(Released(claim));
+        });
+    }
+
+    fn end(&mut self, task: &Task, answer: Answer, ctx: &mut Context<Self>) {
+        let id = &task.id;
+        if !task.keyed {
+            return self.waiting.answer(id, &Reply::Answer(answer), self.load());
+        }
+        if answer.outcome == Outcome::NotRun {
+            if let Some(claim) = self.records.unsent(id, self.clock.now()) {
+                self.release(claim, Release::Free, ctx);
+            }
+            return self.waiting.answer(id, &Reply::Declined(answer), self.load());
+        }
+        self.records.end(id, answer.clone(), self.clock.now());
+        self.waiting.answer(id, &Reply::Answer(answer), self.load());
+    }
+
+    /// Stops a task that has not started.
+    fn cancel(&mut self, id: &TaskId, ctx: &mut Context<Self>) -> bool {
+        let stage = self.records.stage(id);
+        if !matches!(stage, Some(Stage::Asked | Stage::Queued)) {
+            return matches!(stage, Some(Stage::GivenUp { .. }));
+        }
+        if let Some(ticket) = self.waiting.ticket(id) {
+            self.queue.remove(ticket);
+        }
+        self.give_up(id, GiveUp::ForGood, "cancelled", self.bar_retry, ctx);
+        true
+    }
+
+    fn expire(&mut self) {
+        self.records.expire(self.clock.now());
+        self.desk.expire();
+    }
+
+    fn check_renewal(&mut self, ctx: &mut Context<Self>) {
         let Some(server) = &self.server else { return };
         if server.seen.elapsed() <= self.renew {
             return;
         }
         Event::BackendGone.log(format_args!("{}", server.url));
         self.server = None;
-        self.refuse_queue("backend server is gone");
+        self.refuse_queue("backend server is gone", ctx);
     }
 
-    fn refuse_queue(&mut self, reason: &str) {
-        for pending in self.queue.clear() {
-            self.answer(pending, Answer::not_run(reason, RETRY_AFTER));
+    fn refuse_queue(&mut self, reason: &str, ctx: &mut Context<Self>) {
+        for id in self.queue.clear() {
+            self.give_up(&id, GiveUp::Elsewhere, reason, RETRY_AFTER, ctx);
         }
     }
 
+    fn response(&self, answer: oneshot::Receiver<Response>) -> ResponseFuture<Response> {
+        let reply = Reply::Answer(Answer::unknown("agent dropped the task"));
+        let gone = Response { reply, load: self.load() };
+        Box::pin(async move { answer.await.unwrap_or(gone) })
+    }
+
     /// Learns from a run; a failure tells nothing of speed.
     fn observe(&mut self, key: RunKey, answer: &Answer) {
         let done = answer.outcome == Outcome::Done;
@@ -159,7 +369,28 @@
     }
 }
 
-fn discipline(settings: &AgentSettings) -> Box<dyn Discipline<Pending>> {
+fn declined(reason: &str, retry_after: Duration) -> Reply {
+    Reply::Declined(Answer::not_run(reason, retry_after))
+}
+
+/// What the calls of a task are told when its claim was not granted.
+fn word(grant: Option<Grant>, bar_retry: Duration) -> Reply {
+    match grant {
+        Some(Grant::Held(holder)) => Reply::Held(holder),
+        Some(Grant::Conflict) => Reply::Conflict,
+        Some(Grant::Barred) => {
+            Reply::Answer(Answer::not_run("the key was refused a moment ago", bar_retry))
+        }
+        Some(Grant::Unknown(why)) => Reply::Answer(Answer::unknown(&why)),
+        Some(Grant::Full) => declined("home has no room for another claim", FULL_RETRY),
+        Some(Grant::Granted) => declined("the grant came too late", RETRY_AFTER),
+        Some(Grant::Free | Grant::NotHome { .. }) | None => {
+            Reply::Declined(Answer::unknown("the home of the key can't be asked"))
+        }
+    }
+}
+
+fn discipline(settings: &AgentSettings) -> Box<dyn Discipline<TaskId>> {
     let slots = settings.slots as usize;
     let queue = Settings { slots, ..Settings::default() };
     match settings.queue {
@@ -177,7 +408,10 @@
 
     fn started(&mut self, ctx: &mut Context<Self>) {
         ctx.set_mailbox_capacity(1 << 16);
-        ctx.run_interval(TICK, |runner, _| runner.check_renewal());
+        ctx.run_interval(TICK, |runner, ctx| {
+            runner.check_renewal(ctx);
+            runner.expire();
+        });
         ctx.run_interval(LATE_TICK, |runner, ctx| runner.fill(ctx));
     }
 
@@ -192,12 +426,73 @@
 
     fn handle(&mut self, Offer(task): Offer, ctx: &mut Context<Self>) -> Self::Result {
         let (reply, answer) = oneshot::channel();
-        self.accept(Pending { task, reply }, ctx);
-        let gone = Response {
-            reply: Reply::Answer(Answer::unknown("agent dropped the task")),
-            load: self.load(),
+        let call = Call { reply, deadline: task.deadline, started: task.started };
+        self.accept(task, call, ctx);
+        self.response(answer)
+    }
+}
+
+impl Handler<Attach> for Runner {
+    type Result = ResponseFuture<Response>;
+
+    fn handle(&mut self, attach: Attach, _: &mut Context<Self>) -> Self::Result {
+        let (reply, answer) = oneshot::channel();
+        // no refusal of another call is meant for it
+        let call = Call { reply, deadline: attach.deadline, started: u64::MAX };
+        let reply = match self.records.stage(&attach.id) {
+            Some(Stage::Over(answer)) => Some(Reply::Answer(answer.clone())),
+            Some(Stage::Asked | Stage::Queued | Stage::Running) => None,
+            Some(Stage::GivenUp { .. }) => Some(declined("agent gave the task up", RETRY_AFTER)),
+            None if attach.incarnation == self.records.me().incarnation => {
+                Some(declined("agent gave the task up", RETRY_AFTER))
+            }
+            None => Some(Reply::Answer(Answer::unknown("the agent that held it was restarted"))),
         };
-        Box::pin(async move { answer.await.unwrap_or(gone) })
+        match reply {
+            Some(reply) => call.answer(reply, self.load()),
+            None => self.attach(&attach.id, call),
+        }
+        self.response(answer)
+    }
+}
+
+impl Handler<Word> for Runner {
+    type Result = ();
+
+    fn handle(&mut self, Word { claim, grant }: Word, ctx: &mut Context<Self>) {
+        self.hear(&claim, grant, ctx);
+    }
+}
+
+impl Handler<Released> for Runner {
+    type Result = ();
+
+    fn handle(&mut self, Released(claim): Released, _: &mut Context<Self>) {
+        self.records.released(&claim);
+    }
+}
+
+impl Handler<Status> for Runner {
+    type Result = MessageResult<Status>;
+
+    fn handle(&mut self, Status(id): Status, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.records.stage(&id).cloned())
+    }
+}
+
+impl Handler<Cancel> for Runner {
+    type Result = MessageResult<Cancel>;
+
+    fn handle(&mut self, Cancel(ids): Cancel, ctx: &mut Context<Self>) -> Self::Result {
+        MessageResult(ids.iter().map(|id| self.cancel(id, ctx)).collect())
+    }
+}
+
+impl Handler<HandOver> for Runner {
+    type Result = MessageResult<HandOver>;
+
+    fn handle(&mut self, HandOver { moved }: HandOver, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.records.hand_over(|id| moved(id)))
     }
 }
 
@@ -205,10 +500,10 @@
     type Result = ();
 
     fn handle(&mut self, ended: Ended, ctx: &mut Context<Self>) {
-        let Run { pending, key } = self.running.remove(ended.slot);
+        let Run { task, key } = self.running.remove(ended.slot);
         self.observe(key, &ended.answer);
+        self.end(&task, ended.answer, ctx);
         self.fill(ctx);
-        self.answer(pending, ended.answer);
     }
 }
 
@@ -232,14 +527,14 @@
 impl Handler<Leave> for Runner {
     type Result = ();
 
-    fn handle(&mut self, leave: Leave, _: &mut Context<Self>) {
+    fn handle(&mut self, leave: Leave, ctx: &mut Context<Self>) {
         let Some(server) = &self.server else { return };
         if server.incarnation != leave.incarnation {
             return;
         }
         Event::BackendLeft.log(format_args!("{}", server.url));
         self.server = None;
-        self.refuse_queue("backend server is leaving");
+        self.refuse_queue("backend server is leaving", ctx);
     }
 }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -45,6 +45,7 @@
     BackendSeen = 400 Info "backend server announced itself"
     BackendGone = 401 Warn "backend server stopped renewing"
     BackendLeft = 402 Info "backend server left"
+    HomeSilent = 500 Warn "home of a key gave no word on claims"
 }
 
 impl Event {
--- a/crates/base/src/task.rs
+++ b/crates/base/src/task.rs
@@ -47,8 +47,10 @@
     /// declared run time, never trusted
     pub declared: Option<Duration>,
     pub digest: Digest,
-    /// this placement of the task
-    pub offer: u64,
+    /// when the entry took the call, unix milliseconds
+    pub started: u64,
+    /// tasks of the submission
+    pub count: u32,
     pub body: Bytes,
 }
 
--- a/crates/claim/src/call.rs
+++ b/crates/claim/src/call.rs
@@ -85,7 +85,7 @@
             Grant::Held(holder) => Step::Attach(holder),
             Grant::Conflict => Step::Conflict,
             Grant::Unknown(why) => unknown(&why),
-            Grant::Granted { .. } | Grant::NotHome { .. } | Grant::Full => Step::Look,
+            Grant::Granted | Grant::NotHome { .. } | Grant::Full => Step::Look,
         }
     }
 
@@ -95,7 +95,7 @@
             Grant::Held(holder) => Step::Attach(holder),
             Grant::Conflict => Step::Conflict,
             Grant::Unknown(why) => unknown(&why),
-            Grant::Free | Grant::Granted { .. } | Grant::NotHome { .. } | Grant::Full => {
+            Grant::Free | Grant::Granted | Grant::NotHome { .. } | Grant::Full => {
                 unknown("the home of the key can't tell")
             }
         }
--- a/crates/claim/src/grant.rs
+++ b/crates/claim/src/grant.rs
@@ -26,10 +26,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Grant {
     /// may start it
-    Granted {
-        /// roster in force at the home
-        epoch: u64,
-    },
+    Granted,
     /// another executor may
     Held(Holder),
     /// nobody holds it; only ever the answer to a look
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -47,13 +47,13 @@
 
     /// Gives the claim to the first executor that asks.
     pub fn claim(&mut self, tenure: Tenure, by: &Holder, claim: Claim, now: Now) -> Grant {
-        let Tenure::Home { epoch, since, .. } = tenure else { return not_home(tenure) };
+        let Tenure::Home { since, .. } = tenure else { return not_home(tenure) };
         if self.is_stale(&claim, now) {
             return Grant::Barred;
         }
         let skew = self.skew();
         let mut row = self.current(&claim.id, since);
-        if let Some(grant) = row.as_mut().and_then(|row| row.reclaim(by, &claim, epoch)) {
+        if let Some(grant) = row.as_mut().and_then(|row| row.reclaim(by, &claim)) {
             return grant;
         }
         let certain = row.as_ref().is_some_and(|row| row.certain);
@@ -69,10 +69,11 @@
         }
         let row = self.put(claim, since, now);
         row.holder = Some(by.clone());
-        Grant::Granted { epoch }
+        Grant::Granted
     }
 
-    /// Takes back a claim that its executor gave up before the start.
+    /// Takes back a claim that its executor gave up before the start. When
+    /// false, this is not the home and the release was not heard.
     pub fn release(
         &mut self,
         tenure: Tenure,
@@ -80,22 +81,25 @@
         claim: &Claim,
         release: Release,
         now: Now,
-    ) {
-        let Tenure::Home { since, .. } = tenure else { return };
+    ) -> bool {
+        let Tenure::Home { since, .. } = tenure else { return false };
         match self.current(&claim.id, since) {
-            Some(row) if row.holder.as_ref() != Some(by) || row.claim.ask != claim.ask => return,
+            Some(row) if row.holder.as_ref() != Some(by) || row.claim.ask != claim.ask => {
+                return true;
+            }
             Some(row) => row.holder = None,
-            None if is_unsure(tenure, claim) => return,
+            None if is_unsure(tenure, claim) => return true,
             None => {}
         }
         if release == Release::Bar {
             // no more room than the claim itself had
             self.put(claim.clone(), since, now).bar(now);
-            return;
+            return true;
         }
         if self.current(&claim.id, since).is_some_and(|row| row.barred.is_none()) {
             self.remove(&claim.id);
         }
+        true
     }
 
     /// Tells who holds the claim, and bars every call begun so far if nobody
@@ -156,9 +160,10 @@
         }
     }
 
-    /// What a new home must know of the keys that move to it.
-    pub fn hand_over(&self, moved: impl Fn(&TaskId) -> bool) -> Vec<Record> {
-        let moved = self.rows.values().filter(|row| moved(&row.claim.id));
+    /// What a new home must know of the keys that move to it; `moved` is asked
+    /// with the key and the first epoch of the tenure its row was made in.
+    pub fn hand_over(&self, moved: impl Fn(&TaskId, u64) -> bool) -> Vec<Record> {
+        let moved = self.rows.values().filter(|row| moved(&row.claim.id, row.since));
         moved.flat_map(Row::records).collect()
     }
 
@@ -251,7 +256,7 @@
 impl Row {
     /// The word to an executor that asks for what is held. `None` when the
     /// claim is free: an executor that asks anew has given its claim up.
-    fn reclaim(&mut self, by: &Holder, claim: &Claim, epoch: u64) -> Option<Grant> {
+    fn reclaim(&mut self, by: &Holder, claim: &Claim) -> Option<Grant> {
         let holder = self.holder.as_ref()?;
         if self.claim.digest != claim.digest {
             return Some(Grant::Conflict);
@@ -261,7 +266,7 @@
         }
         match claim.ask.cmp(&self.claim.ask) {
             Ordering::Less => Some(Grant::Barred),
-            Ordering::Equal => Some(Grant::Granted { epoch }),
+            Ordering::Equal => Some(Grant::Granted),
             Ordering::Greater => {
                 self.holder = None;
                 self.certain = true;
--- a/crates/claim/tests/schedules.rs
+++ b/crates/claim/tests/schedules.rs
@@ -329,7 +329,7 @@
     fn answered(&mut self, at: usize, claim: &Claim, grant: Grant) {
         let executor = &mut self.executors[at];
         let event = match grant.clone() {
-            Grant::Granted { .. } => {
+            Grant::Granted => {
                 if !executor.records.granted(claim) && executor.records.stage(&claim.id).is_none() {
                     self.release(at, claim.clone(), Release::Free);
                 }
@@ -472,7 +472,7 @@
         // a planned stop hands over what the home knows
         if self.rng.random_bool(0.5) {
             table
-                .hand_over(|_| true)
+                .hand_over(|_, _| true)
                 .into_iter()
                 .for_each(|r| self.table.adopt(r, self.since, now));
         } else {
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -18,6 +18,11 @@
     fn faults(&self) -> Vec<Fault>;
 }
 
+const RETENTION_MS: u64 = 900_000;
+/// The longest deadline and the longest run, with a margin.
+const LEAST_RETENTION_MS: u64 = 780_000;
+const SKEW_MS: u64 = 1000;
+
 /// Settings of `egret-entry`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -44,6 +49,10 @@
     pub warm_ms: u64,
     /// time for the balancer to see this entry unready, milliseconds
     pub unready_ms: u64,
+    /// how long agents remember a key, milliseconds; older keys are refused
+    pub retention_ms: u64,
+    /// how far apart the clocks of two VMs may be, milliseconds
+    pub skew_ms: u64,
 }
 
 impl Default for EntrySettings {
@@ -61,6 +70,8 @@
             silence_ms: 2000,
             warm_ms: 1500,
             unready_ms: 500,
+            retention_ms: RETENTION_MS,
+            skew_ms: SKEW_MS,
         }
     }
 }
@@ -72,6 +83,7 @@
         at_least("body_bytes", self.body_bytes as u64, 1024, &mut faults);
         at_least("poll_ms", self.poll_ms, 50, &mut faults);
         at_least("silence_ms", self.silence_ms, 200, &mut faults);
+        at_least("retention_ms", self.retention_ms, LEAST_RETENTION_MS, &mut faults);
         faults
     }
 }
@@ -115,6 +127,14 @@
     pub beat_ms: u64,
     /// a backend server that has not renewed for this long is gone, milliseconds
     pub renew_ms: u64,
+    /// how long a claim and an answer are remembered, milliseconds
+    pub retention_ms: u64,
+    /// how far apart the clocks of two VMs may be, milliseconds
+    pub skew_ms: u64,
+    /// most claims, and most records of tasks, kept at once
+    pub records: usize,
+    /// most memory of claims, and of records with their answers, bytes
+    pub record_bytes: usize,
 }
 
 impl Default for AgentSettings {
@@ -134,6 +154,10 @@
             queue: QueueKind::default(),
             beat_ms: 500,
             renew_ms: 3000,
+            retention_ms: RETENTION_MS,
+            skew_ms: SKEW_MS,
+            records: 200_000,
+            record_bytes: 48 << 20,
         }
     }
 }
@@ -153,6 +177,9 @@
         at_least("connections", self.connections.into(), self.slots.into(), &mut faults);
         at_least("beat_ms", self.beat_ms, 50, &mut faults);
         at_least("renew_ms", self.renew_ms, 200, &mut faults);
+        at_least("retention_ms", self.retention_ms, LEAST_RETENTION_MS, &mut faults);
+        at_least("records", self.records as u64, 100, &mut faults);
+        at_least("record_bytes", self.record_bytes as u64, 1 << 20, &mut faults);
         faults
     }
 }
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -18,8 +18,9 @@
   sizeMs @7 :UInt32;     # declared run time, 0 when none
   digestHigh @8 :UInt64; # digest of operation and body
   digestLow @9 :UInt64;
-  offer @10 :UInt64;     # one placement of the task, what a bar names
+  startedMs @10 :UInt64; # when the entry took the call, unix time
   body @11 :Data;
+  count @12 :UInt32;     # tasks of the submission
 }
 
 enum Outcome {
@@ -63,7 +64,9 @@
     answer @1 :Answer;
     held @2 :Text;       # another agent holds the claim
     conflict @3 :Void;   # the key was used with another body
+    declined @4 :Answer; # did nothing, but someone else may hold the claim
   }
+  incarnation @5 :UInt64; # of the agent that holds the claim
 }
 
 struct AgentInfo {
@@ -91,19 +94,24 @@
   digestHigh @1 :UInt64;
   digestLow @2 :UInt64;
   issuedMs @3 :UInt64;
-  offer @4 :UInt64;
+  ask @4 :UInt64;        # the executor's number of this claim, rising
+  startedMs @5 :UInt64;  # when the entry took the call, unix time
+  count @6 :UInt32;      # tasks of the submission
 }
 
 struct Grant {
   union {
     granted @0 :Void;
     held @1 :Text;       # name of the agent that holds the claim
-    barred @2 :Void;     # this offer was withdrawn
+    barred @2 :Void;     # nobody holds it, and no call begun so far will
     conflict @3 :Void;
     notHome @4 :UInt64;  # the epoch known here
     unknown @5 :Text;    # whether it ran before can't be told; why
     full @6 :Void;       # no room for another claim
+    free @8 :Void;       # nobody holds it; the answer to a look
   }
+  incarnation @7 :UInt64; # of the agent that holds the claim
+  count @9 :UInt32;      # tasks of the submission, 0 when not known
 }
 
 enum Stage {
@@ -117,7 +125,8 @@
   claim @0 :Claim;
   executor @1 :Text;
   incarnation @2 :UInt64;
-  epoch @3 :UInt64;      # epoch the claim was granted in
+  epoch @3 :UInt64;      # not used
+  barredMs @4 :UInt64;   # calls begun before may not start it; 0 when held
 }
 
 struct Beat {
@@ -140,7 +149,7 @@
   # From an entry: run a task here, and wait for its answer.
   run @0 (task :Task) -> (reply :Reply);
   # From an entry: wait for the answer of a task that is held here.
-  attach @1 (id :TaskId, leftMs :UInt32) -> (reply :Reply);
+  attach @1 (id :TaskId, leftMs :UInt32, incarnation :UInt64) -> (reply :Reply);
   # What is known here of a task.
   status @2 (id :TaskId) -> (stage :Stage, reply :Reply);
   # Stop a task that has not started.
@@ -148,9 +157,10 @@
   # From an executor to the home: ask for claims.
   claim @4 (epoch :UInt64, executor :Member, claims :List(Claim)) -> (grants :List(Grant));
   # From an executor to the home: these never started, give the claims up.
-  release @5 (epoch :UInt64, executor :Member, claims :List(Claim)) -> ();
-  # From an entry to the home: withdraw an offer, or learn who holds the claim.
-  bar @6 (epoch :UInt64, claim :Claim) -> (grant :Grant);
+  release @5 (epoch :UInt64, executor :Member, claims :List(Claim), bars :List(Bool)) -> ();
+  # From an entry to the home: learn who holds the claim, and bar the calls
+  # begun so far if nobody does, unless it only looks.
+  bar @6 (epoch :UInt64, claim :Claim, look :Bool) -> (grant :Grant);
   # Between members of a roster.
   beat @7 (beat :Beat) -> (ack :Beat);
   # Promise an epoch, and hand over the records whose home is the caller.
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
-use base::{Answer, Name, Outcome};
+use base::{Answer, Outcome};
 use bytes::Bytes;
+use claim::Holder;
 
 use crate::{
     Error, Result,
@@ -14,24 +15,34 @@
 pub enum Reply {
     Answer(Answer),
     /// another agent holds the claim
-    Held(Name),
+    Held(Holder),
     /// the key was used with another body
     Conflict,
+    /// did nothing, but another agent may hold the claim
+    Declined(Answer),
 }
 
 pub fn write_reply(mut to: reply::Builder<'_>, reply: &Reply) {
     match reply {
         Reply::Answer(answer) => write_answer(to.init_answer(), answer),
-        Reply::Held(agent) => to.set_held(&**agent),
+        Reply::Held(holder) => {
+            to.set_incarnation(holder.incarnation);
+            to.set_held(&*holder.name);
+        }
         Reply::Conflict => to.set_conflict(()),
+        Reply::Declined(answer) => write_answer(to.init_declined(), answer),
     }
 }
 
 pub fn read_reply(from: reply::Reader<'_>) -> Result<Reply> {
     match from.which().map_err(|e| Error::Malformed(e.to_string()))? {
         reply::Answer(answer) => Ok(Reply::Answer(read_answer(answer?)?)),
-        reply::Held(agent) => Ok(Reply::Held(text(agent)?)),
+        reply::Held(agent) => {
+            let (name, incarnation) = (text(agent)?, from.get_incarnation());
+            Ok(Reply::Held(Holder { name, incarnation }))
+        }
         reply::Conflict(()) => Ok(Reply::Conflict),
+        reply::Declined(answer) => Ok(Reply::Declined(read_answer(answer?)?)),
     }
 }
 
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -394,7 +394,7 @@
             self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_offer(self) -> u64 {
+        pub fn get_started_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(5)
         }
         #[inline]
@@ -405,6 +405,10 @@
         pub fn has_body(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -564,11 +568,11 @@
             self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_offer(self) -> u64 {
+        pub fn get_started_ms(self) -> u64 {
             self.builder.get_data_field::<u64>(5)
         }
         #[inline]
-        pub fn set_offer(&mut self, value: u64)  {
+        pub fn set_started_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(5, value);
         }
         #[inline]
@@ -587,6 +591,14 @@
         pub fn has_body(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -601,7 +613,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 202] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 218] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(72, 151, 84, 255, 143, 103, 114, 202),
             ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
@@ -611,98 +623,105 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 84, 97, 115, 107),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 97, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
@@ -788,7 +807,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 102, 102, 101, 114, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -804,6 +824,14 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -819,6 +847,7 @@
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -832,9 +861,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[11,8,9,0,3,5,4,10,2,6,1,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[11,12,8,9,0,3,5,4,2,6,1,7,10];
         pub(crate) const TYPE_ID: u64 = 0xca72_678f_ff54_9748;
     }
 }
@@ -1988,7 +2017,7 @@
 }
 
 pub mod reply {
-    pub use self::Which::{Answer,Held,Conflict};
+    pub use self::Which::{Answer,Held,Conflict,Declined};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2069,6 +2098,15 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn has_declined(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 3 { return false; }
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -2086,6 +2124,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Declined(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2093,7 +2136,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2194,6 +2237,29 @@
             self.builder.set_data_field::<u16>(0, 2);
         }
         #[inline]
+        pub fn set_declined(&mut self, value: crate::egret_capnp::answer::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_declined(self, ) -> crate::egret_capnp::answer::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_declined(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 3 { return false; }
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -2211,6 +2277,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Declined(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2228,52 +2299,66 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 101, 112, 108),
             ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 252, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(108, 111, 97, 100, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(141, 197, 61, 107, 176, 75, 155, 214),
@@ -2307,6 +2392,24 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 99, 108, 105, 110, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(18, 70, 108, 1, 171, 238, 231, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2314,6 +2417,8 @@
                 1 => <crate::egret_capnp::answer::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::egret_capnp::answer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2327,18 +2432,19 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[1,2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,4,2,5,0];
         pub(crate) const TYPE_ID: u64 = 0xe512_88c5_9b9e_d3f9;
     }
-    pub enum Which<A0,A1> {
+    pub enum Which<A0,A1,A2> {
         Answer(A0),
         Held(A1),
         Conflict(()),
+        Declined(A2),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::egret_capnp::answer::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::egret_capnp::answer::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::egret_capnp::answer::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::egret_capnp::answer::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::egret_capnp::answer::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::egret_capnp::answer::Builder<'a>>>;
 }
 
 pub mod agent_info {
@@ -3274,14 +3380,22 @@
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_offer(self) -> u64 {
+        pub fn get_ask(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(10)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3372,13 +3486,29 @@
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_offer(self) -> u64 {
+        pub fn get_ask(self) -> u64 {
             self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_offer(&mut self, value: u64)  {
+        pub fn set_ask(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_started_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(10)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(10, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3393,59 +3523,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(204, 189, 152, 177, 190, 24, 175, 129),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 108, 97, 105),
             ::capnp::word(109, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
@@ -3481,7 +3625,16 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 102, 102, 101, 114, 0, 0, 0),
+            ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3489,6 +3642,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3497,6 +3658,8 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3510,15 +3673,15 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,1,2,0,3,5];
         pub(crate) const TYPE_ID: u64 = 0x81af_18be_b198_bdcc;
     }
 }
 
 pub mod grant {
-    pub use self::Which::{Granted,Held,Barred,Conflict,NotHome,Unknown,Full};
+    pub use self::Which::{Granted,Held,Barred,Conflict,NotHome,Unknown,Full,Free};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3591,6 +3754,14 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -3628,6 +3799,11 @@
                         ()
                     ))
                 }
+                7 => {
+                    ::core::result::Result::Ok(Free(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3635,7 +3811,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3737,6 +3913,26 @@
             self.builder.set_data_field::<u16>(0, 6);
         }
         #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn set_free(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(0, 7);
+        }
+        #[inline]
+        pub fn get_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -3774,6 +3970,11 @@
                         ()
                     ))
                 }
+                7 => {
+                    ::core::result::Result::Ok(Free(
+                        ()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3788,73 +3989,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(238, 20, 245, 18, 228, 225, 147, 128),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 7, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 71, 114, 97, 110),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3912,6 +4134,31 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 101, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3922,6 +4169,9 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <() as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3935,9 +4185,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,6,0,1,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[7,9];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,9,8,6,0,1,7,4,5];
         pub(crate) const TYPE_ID: u64 = 0x8093_e1e4_12f5_14ee;
     }
     pub enum Which<A0,A1> {
@@ -3948,6 +4198,7 @@
         NotHome(u64),
         Unknown(A1),
         Full(()),
+        Free(()),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
@@ -4114,11 +4365,15 @@
         pub fn get_epoch(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_barred_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4216,6 +4471,14 @@
         pub fn set_epoch(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_barred_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_barred_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4230,52 +4493,59 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(250, 208, 4, 112, 235, 158, 110, 183),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 82, 101, 99, 111),
             ::capnp::word(114, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(204, 189, 152, 177, 190, 24, 175, 129),
@@ -4310,6 +4580,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 114, 114, 101, 100, 77, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4317,6 +4596,7 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4330,9 +4610,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,3,1,2];
         pub(crate) const TYPE_ID: u64 = 0xb76e_9eeb_7004_d0fa;
     }
 }
@@ -6455,11 +6735,15 @@
             pub fn get_left_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(0)
             }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6533,6 +6817,14 @@
             pub fn set_left_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(0, value);
             }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_incarnation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6547,38 +6839,45 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(141, 247, 250, 133, 154, 124, 81, 158),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
                 ::capnp::word(116, 46, 97, 116, 116, 97, 99, 104),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
@@ -6595,11 +6894,21 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::egret_capnp::task_id::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6613,9 +6922,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0x9e51_7c9a_85fa_f78d;
         }
     }
@@ -8278,11 +8587,19 @@
             pub fn has_claims(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_bars(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,bool>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_bars(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8372,6 +8689,22 @@
             pub fn has_claims(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_bars(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,bool>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_bars(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<bool>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_bars(self, size: u32) -> ::capnp::primitive_list::Builder<'a,bool> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_bars(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8386,17 +8719,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(37, 118, 182, 253, 102, 24, 217, 164),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
@@ -8404,28 +8737,35 @@
                 ::capnp::word(116, 46, 114, 101, 108, 101, 97, 115),
                 ::capnp::word(101, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8455,12 +8795,25 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 97, 114, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::egret_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::egret_capnp::claim::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::primitive_list::Owned<bool> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8474,9 +8827,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xa4d9_1866_fdb6_7625;
         }
     }
@@ -8719,11 +9072,15 @@
             pub fn has_claim(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_look(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8797,6 +9154,14 @@
             pub fn has_claim(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_look(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_look(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8811,38 +9176,45 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(194, 58, 62, 252, 192, 83, 175, 172),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
                 ::capnp::word(116, 46, 98, 97, 114, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8859,11 +9231,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 111, 111, 107, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::egret_capnp::claim::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8877,9 +9258,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xacaf_53c0_fc3e_3ac2;
         }
     }
--- a/crates/wire/src/info.rs
+++ b/crates/wire/src/info.rs
@@ -119,6 +119,6 @@
     })
 }
 
-fn read_address(text: &str) -> Result<SocketAddr> {
+pub(crate) fn read_address(text: &str) -> Result<SocketAddr> {
     text.parse().map_err(|_| Error::Malformed(format!("not an address: {text}")))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,19 +3,26 @@
 //! typed messages that the rest of the code works with.
 
 mod answer;
+mod claim;
 mod door;
 #[allow(clippy::all, clippy::unimplemented, clippy::wildcard_imports)]
 #[rustfmt::skip]
 pub mod egret_capnp;
 mod info;
 mod link;
+mod links;
 mod task;
 mod text;
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
+pub use claim::{
+    read_claim, read_grant, read_ids, read_member, read_record, write_claim, write_grant,
+    write_member, write_record,
+};
 pub use door::Door;
 pub use info::{AgentInfo, Load, Room, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
+pub use links::Links;
 pub use task::{read_id, read_task, write_id, write_task};
 
 /// Version of the protocol; peers with another one are refused.
@@ -27,6 +34,9 @@
     /// nothing was sent
     #[error("can't connect to {address}: {why}")]
     Connect { address: String, why: String },
+    /// nothing was sent, and no process listens there
+    #[error("no process at {address}")]
+    Absent { address: String },
     /// the peer didn't accept the token or the protocol version
     #[error("refused by {address}: {why}")]
     Refused { address: String, why: String },
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -117,8 +117,7 @@
 }
 
 async fn dial_open(address: SocketAddr, token: &Token) -> Result<Link> {
-    let stream =
-        TcpStream::connect(address).await.map_err(|e| connect_error(address, &e.to_string()))?;
+    let stream = TcpStream::connect(address).await.map_err(|e| unconnected(address, &e))?;
     let started = start(stream, Side::Client, None);
     let mut link =
         Link { gate: started.gate, down: started.down, address, agent: None, entry: None };
@@ -152,6 +151,13 @@
     Started { gate, down, task }
 }
 
+fn unconnected(address: SocketAddr, error: &std::io::Error) -> Error {
+    if error.kind() == std::io::ErrorKind::ConnectionRefused {
+        return Error::Absent { address: address.to_string() };
+    }
+    connect_error(address, &error.to_string())
+}
+
 fn connect_error(address: SocketAddr, why: &str) -> Error {
     Error::Connect { address: address.to_string(), why: why.to_owned() }
 }
--- a/crates/entry/src/call/links.rs
+++ b/crates/wire/src/links.rs
@@ -1,8 +1,8 @@
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
+use crate::{Link, Result, dial};
 use base::Token;
 use futures::lock::Mutex;
-use wire::{Link, Result, dial};
 
 type Slot = Rc<Mutex<Option<Rc<Link>>>>;
 
--- a/crates/wire/src/task.rs
+++ b/crates/wire/src/task.rs
@@ -30,7 +30,8 @@
     to.set_size_ms(task.declared.map_or(0, |d| d.as_millis().try_into().unwrap_or(u32::MAX)));
     to.set_digest_high(task.digest.high());
     to.set_digest_low(task.digest.low());
-    to.set_offer(task.offer);
+    to.set_started_ms(task.started);
+    to.set_count(task.count);
     to.set_body(&task.body);
 }
 
@@ -47,7 +48,8 @@
         repeatable: from.get_repeatable(),
         declared: (size > 0).then(|| Duration::from_millis(size)),
         digest: Digest::from_parts(from.get_digest_high(), from.get_digest_low()),
-        offer: from.get_offer(),
+        started: from.get_started_ms(),
+        count: from.get_count(),
         body: Bytes::copy_from_slice(from.get_body()?),
     })
 }
