--- a/crates/agent/src/run/mod.rs
+++ b/crates/agent/src/run/mod.rs
@@ -6,7 +6,5 @@
 mod runner;
 mod waiting;
 
-pub use message::{
-    Announce, Attach, Cancel, Drain, Inspect, Leave, Offer, Response, Status,
-};
+pub use message::{Announce, Attach, Cancel, Drain, Inspect, Leave, Offer, Response, Status};
 pub use runner::{Claims, Runner};
--- a/crates/claim/src/call.rs
+++ b/crates/claim/src/call.rs
@@ -54,6 +54,11 @@
         Self { refusal }
     }
 
+    /// What the caller is told when nothing ran.
+    pub fn refusal(&self) -> &Answer {
+        &self.refusal
+    }
+
     /// Decides the next step.
     pub fn next(&mut self, event: Event) -> Step {
         match event {
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -1,7 +1,11 @@
-//! From a task to its one answer: picking an agent, offering, waiting.
+//! From a task to its one answer: picking an agent, offering, following the
+//! claim of its key, waiting.
 
+mod chooser;
 mod dispatcher;
-mod links;
-mod pick;
+mod home;
+mod keyed;
+mod keys;
 
 pub use dispatcher::{Dispatcher, Error};
+pub use keys::{Key, KeyState, Tally};
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -16,6 +16,8 @@
     UnknownTeam(String),
     #[error("the deadline has passed: give a deadline_ms of at least 1")]
     DeadlinePassed,
+    #[error("the key was issued more than {0} ms ago and is no longer remembered: use a new key")]
+    KeyExpired(u64),
     #[error("the job has {0} tasks: send 1 to {MAX_TASKS}, and split a larger job")]
     TaskCount(usize),
     #[error("{field} {why}")]
@@ -48,6 +50,7 @@
             Error::UnknownService(_) => "unknown-service",
             Error::UnknownTeam(_) => "unknown-team",
             Error::DeadlinePassed => "deadline-passed",
+            Error::KeyExpired(_) => "key-expired",
             Error::TaskCount(_) => "task-count",
             Error::Field { .. } => "bad-field",
             Error::Call(crate::call::Error::Conflict) => "key-conflict",
@@ -64,6 +67,7 @@
             Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::UnknownService(_) => StatusCode::NOT_FOUND,
             Error::UnknownTeam(_) => StatusCode::FORBIDDEN,
+            Error::KeyExpired(_) => StatusCode::GONE,
             Error::TaskCount(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Error::Call(crate::call::Error::Conflict) => StatusCode::CONFLICT,
         }
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -46,6 +46,7 @@
         issued_ms: job.issued_ms,
         deadline_ms: job.deadline_ms,
         repeatable: job.repeatable,
+        count,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let runs = (0..).zip(job.tasks).map(|(i, task)| dispatcher.run(terms.task(i, task)));
--- /dev/null
+++ b/crates/entry/src/http/key.rs
@@ -0,0 +1,136 @@
+use actix_web::{
+    HttpResponse,
+    web::{Bytes, Data, Path, Query},
+};
+use base::{Name, Outcome, now_ms};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    error::{Error, Result},
+    submit::{check_issued, check_team, issue_time, parse},
+};
+use crate::{
+    app::Shared,
+    call::{Dispatcher, Key, KeyState, Tally},
+};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Named {
+    team: Name,
+    key: Name,
+    issued_ms: Option<u64>,
+}
+
+/// How far a key has come, as the caller reads it.
+#[derive(Serialize)]
+struct Status<'a> {
+    key: &'a str,
+    state: &'static str,
+    counts: Counts,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'a str>,
+}
+
+/// Tasks of a key by state.
+#[derive(Default, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Counts {
+    unseen: usize,
+    queued: usize,
+    running: usize,
+    done: usize,
+    failed: usize,
+    not_run: usize,
+    unknown: usize,
+}
+
+/// Tells how far the tasks of a key have come.
+pub async fn status(
+    shared: Data<Shared>,
+    dispatcher: Data<Dispatcher>,
+    service: Path<String>,
+    named: Query<Named>,
+) -> Result<HttpResponse> {
+    let key = check(&shared, &service, named.into_inner())?;
+    let tally = dispatcher.status(&key).await;
+    Ok(respond(&key, &tally))
+}
+
+/// Stops the tasks of a key that have not started.
+pub async fn cancel(
+    shared: Data<Shared>,
+    dispatcher: Data<Dispatcher>,
+    service: Path<String>,
+    body: Bytes,
+) -> Result<HttpResponse> {
+    let key = check(&shared, &service, parse(&body)?)?;
+    let tally = dispatcher.cancel(&key).await;
+    Ok(respond(&key, &tally))
+}
+
+fn check(shared: &Shared, service: &str, named: Named) -> Result<Key> {
+    let service = check_team(shared, service, &named.team)?;
+    if named.key.is_empty() {
+        return Err(Error::Field { field: "key", why: "is empty: name the key" });
+    }
+    let issued = named.issued_ms.or_else(|| issue_time(&named.key));
+    check_issued(shared, issued, now_ms())?;
+    Ok(Key { service, team: named.team, key: named.key, issued })
+}
+
+fn respond(key: &Key, tally: &Tally) -> HttpResponse {
+    let counts = count(&tally.tasks);
+    let reason = tally.tasks.iter().find_map(|state| match state {
+        KeyState::Unknown(why) => Some(&**why),
+        KeyState::Over(answer) if answer.outcome != Outcome::Done => Some(&*answer.reason),
+        _ => None,
+    });
+    let state = sum_up(&counts, tally.tasks.len());
+    HttpResponse::Ok().json(Status { key: &key.key, state, counts, reason })
+}
+
+fn count(tasks: &[KeyState]) -> Counts {
+    let mut counts = Counts::default();
+    for state in tasks {
+        let place = match state {
+            KeyState::Unseen => &mut counts.unseen,
+            KeyState::Queued => &mut counts.queued,
+            KeyState::Running => &mut counts.running,
+            KeyState::NotRun => &mut counts.not_run,
+            KeyState::Unknown(_) => &mut counts.unknown,
+            KeyState::Over(answer) => match answer.outcome {
+                Outcome::Done => &mut counts.done,
+                Outcome::Failed => &mut counts.failed,
+                Outcome::NotRun => &mut counts.unseen,
+                Outcome::Unknown => &mut counts.unknown,
+            },
+        };
+        *place += 1;
+    }
+    counts
+}
+
+/// The one word for a key: what decides its answer comes first.
+fn sum_up(counts: &Counts, total: usize) -> &'static str {
+    let Counts { unseen, queued, running, done, failed, not_run, unknown } = *counts;
+    if failed > 0 {
+        return "failed";
+    }
+    if unknown > 0 {
+        return "unknown";
+    }
+    if done == total {
+        return "done";
+    }
+    if not_run == total {
+        return "not-run";
+    }
+    if unseen == total {
+        return "unseen";
+    }
+    if running + done > 0 {
+        return "running";
+    }
+    if queued > 0 { "queued" } else { "not-run" }
+}
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod health;
 mod job;
+mod key;
 mod request;
 mod server;
 mod submit;
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -43,6 +43,7 @@
         issued_ms: req.issued_ms,
         deadline_ms: req.deadline_ms,
         repeatable: req.repeatable,
+        count: 1,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -4,7 +4,7 @@
     web::{Data, PayloadConfig, get, post},
 };
 
-use super::{health, job, request};
+use super::{health, job, key, request};
 use crate::{Error, Result, app::Shared, call::Dispatcher};
 
 const SHUTDOWN_SECONDS: u64 = 120;
@@ -15,13 +15,15 @@
     let threads = shared.settings.threads;
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let dispatcher = Dispatcher::new(shared.agents.clone(), shared.settings.token.clone());
+        let dispatcher = Dispatcher::new(&shared);
         App::new()
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
             .app_data(Data::new(shared.clone()))
             .app_data(Data::new(dispatcher))
             .route("/v1/{service}/request", post().to(request::submit))
             .route("/v1/{service}/job", post().to(job::submit))
+            .route("/v1/{service}/status", get().to(key::status))
+            .route("/v1/{service}/cancel", post().to(key::cancel))
             .route("/healthz", get().to(health::healthz))
             .route("/readyz", get().to(health::readyz))
     });
