--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -1,12 +1,13 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use actix::{Actor, Addr};
 use base::{Event, clock_micros};
-use conf::AgentSettings;
+use conf::{AgentSettings, Current};
 use log::LevelFilter;
 use plat::HttpPlatform;
 use tokio::{
@@ -56,13 +57,14 @@
     let claimer = Claimer::new(me.clone(), peers.clone(), desk.clone(), settings.token.clone());
     let claims = Claims { me: holder(&me), claimer: claimer.clone(), desk: desk.clone(), clock };
     let runner = Runner::new(&settings, claims).start();
-    let greeter = Greeter::new(&settings, identity, runner.clone());
+    let fleet: Arc<Current> = Arc::default();
+    let greeter = Greeter::new(&settings, identity, runner.clone(), fleet.clone());
 
     let rpc = AgentRpc::new(runner.clone(), greeter.clone(), desk);
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     actix::spawn(wire::serve(listener, door));
-    let server = http::start(settings.http, runner.clone())?;
     actix::spawn(peers.run());
+    let server = http::start(&settings, runner.clone(), fleet)?;
     greeter.start();
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod greet;
 mod home;
 mod http;
+mod metrics;
 mod peers;
 mod rpc;
 mod run;
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use base::{TaskId, invariant};
+use base::{Digest, TaskId, invariant};
 
 use crate::{Claim, Grant, Holder, Limits, Now, Record, Release, State, Tenure, sweep::Sweep};
 
@@ -125,8 +125,8 @@
         let skew = self.skew();
         let row = self.current(&claim.id, since);
         let count = row.as_ref().map(|row| row.claim.count);
-        if let Some(holder) = row.as_ref().and_then(|row| row.holder.clone()) {
-            return Found { grant: Grant::Held(holder), count };
+        if let Some(grant) = row.as_ref().and_then(|row| row.held(claim.digest)) {
+            return Found { grant, count };
         }
         let certain = row.as_ref().is_some_and(|row| row.certain);
         let barred = row.and_then(|row| row.barred);
@@ -275,6 +275,14 @@
         }
     }
 
+    fn held(&self, digest: Digest) -> Option<Grant> {
+        let holder = self.holder.clone()?;
+        if digest != Digest::UNKNOWN && digest != self.claim.digest {
+            return Some(Grant::Conflict);
+        }
+        Some(Grant::Held(holder))
+    }
+
     fn bar(&mut self, now: Now) {
         self.barred = Some(now.wall);
         self.certain = true;
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -4,12 +4,14 @@
 };
 
 use base::{Answer, Outcome, Task, TaskId};
+use claim::{Claim, Found, Grant};
 use roster::{Homes, Roster};
 use tokio::time::{sleep, timeout_at};
 use wire::{Link, Links, Reply, read_load, read_reply, write_task};
 
 use super::{
     chooser::{Chooser, Chosen},
+    home::Query,
     keyed::Keyed,
 };
 use crate::{
@@ -82,6 +84,21 @@
         }
     }
 
+    /// Refuses a job whose key was used with another body, before any of its
+    /// tasks is offered.
+    ///
+    /// # Errors
+    /// `Conflict` when the key was used with another body.
+    pub async fn check_key(&self, first: &Task) -> Result<()> {
+        if !first.keyed || first.count < 2 {
+            return Ok(());
+        }
+        match self.ask_home(&first.service, &claim_of(first), Query::Look).await {
+            Some(Found { grant: Grant::Conflict, .. }) => Err(Error::Conflict),
+            _ => Ok(()),
+        }
+    }
+
     /// A task with no key: one offer at a time, the next one only when the
     /// last certainly did not start.
     async fn try_agents(&self, task: Task) -> Result<Answer> {
@@ -168,6 +185,18 @@
     }
 }
 
+/// What the home of a task is asked about it.
+pub(super) fn claim_of(task: &Task) -> Claim {
+    Claim {
+        id: task.id.clone(),
+        digest: task.digest,
+        issued: task.issued,
+        started: task.started,
+        count: task.count,
+        ask: 0,
+    }
+}
+
 /// What a caller is told when no agent takes new work.
 pub(super) fn no_agent() -> Answer {
     Answer::not_run("no agent of the service takes new work", RETRY_AFTER)
--- a/crates/entry/src/call/keyed.rs
+++ b/crates/entry/src/call/keyed.rs
@@ -1,12 +1,12 @@
 use std::time::{Duration, Instant};
 
 use base::{Answer, Outcome, Task};
-use claim::{Call, Claim, Event, Grant, Holder, Step};
+use claim::{Call, Event, Grant, Holder, Step};
 use tokio::time::sleep;
 use wire::{Reply, read_load, read_reply, write_id};
 
 use super::{
-    dispatcher::{Dispatcher, Error, Result, Tried, no_agent},
+    dispatcher::{Dispatcher, Error, Result, Tried, claim_of, no_agent},
     home::Query,
 };
 
@@ -164,14 +164,3 @@
         answer
     }
 }
-
-fn claim_of(task: &Task) -> Claim {
-    Claim {
-        id: task.id.clone(),
-        digest: task.digest,
-        issued: task.issued,
-        started: task.started,
-        count: task.count,
-        ask: 0,
-    }
-}
--- a/crates/entry/src/call/keys.rs
+++ b/crates/entry/src/call/keys.rs
@@ -157,7 +157,7 @@
     fn claim(&self, index: u32) -> Claim {
         Claim {
             id: TaskId::new(self.team.clone(), self.key.clone(), index),
-            digest: Digest(0),
+            digest: Digest::UNKNOWN,
             issued: self.issued,
             started: now_ms(),
             count: 0,
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,13 +1,17 @@
-//! What an entry knows: the agents that greet it, and the fleet configuration
-//! in force.
+//! What an entry knows: the agents that greet it, the other entries, and the
+//! fleet configuration in force.
 
 mod agents;
 mod peer;
+mod peers;
+mod registrar;
 mod rosters;
 mod watcher;
 
-pub use agents::Agents;
+pub use agents::{Agents, Seen};
 pub use conf::Current;
 pub use peer::Peer;
+pub use peers::Peers;
+pub use registrar::Registrar;
 pub use rosters::Rosters;
 pub use watcher::Watcher;
--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -1,13 +1,13 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpRequest, web::Bytes};
-use base::{Digest, MAX_KEY_BYTES, Name, Task, TaskId, now_ms};
+use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId, now_ms};
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use uuid::Uuid;
 
 use super::error::{Error, Result, bad_field};
-use crate::app::Shared;
+use crate::{app::Shared, metrics::Kind};
 
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 const KEY_HEADER: &str = "idempotency-key";
@@ -19,6 +19,7 @@
     pub key: Name,
     pub keyed: bool,
     pub issued: Option<u64>,
+    pub received: Instant,
     pub deadline: Instant,
     pub repeatable: bool,
     /// when the call was taken, unix milliseconds
@@ -55,6 +56,7 @@
         let given = given_key(http, asked.key)?;
         let default_ms = shared.fleet.get().fleet.effective(&service).deadline_ms;
         let deadline = check_deadline(asked.deadline_ms.unwrap_or(default_ms))?;
+        let received = Instant::now();
         let keyed = given.is_some();
         let key = given.unwrap_or_else(|| Uuid::now_v7().to_string().into());
         let issued = asked.issued_ms.or_else(|| issue_time(&key));
@@ -68,18 +70,36 @@
             key,
             keyed,
             issued,
-            deadline: Instant::now() + deadline,
+            received,
+            deadline: received + deadline,
             repeatable: asked.repeatable,
             started,
             count: asked.count as u32,
         })
     }
 
-    /// The task at a place of the submission.
+    /// The task of a request.
     ///
     /// # Errors
     /// When its operation can't go into a header.
-    pub fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
+    pub fn request(&self, task: TaskBody) -> Result<Task> {
+        let task = self.task(0, task)?;
+        Ok(Task { digest: Digest::whole([task.digest].into_iter()), ..task })
+    }
+
+    /// The tasks of a job, in order; each carries the digest of the whole job.
+    ///
+    /// # Errors
+    /// When an operation can't go into a header.
+    pub fn tasks(&self, tasks: Vec<TaskBody>) -> Result<Vec<Task>> {
+        let tasks = (0..).zip(tasks).map(|(i, task)| self.task(i, task));
+        let mut tasks = tasks.collect::<Result<Vec<_>>>()?;
+        let digest = Digest::whole(tasks.iter().map(|task| task.digest));
+        tasks.iter_mut().for_each(|task| task.digest = digest);
+        Ok(tasks)
+    }
+
+    fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
         if !is_plain(&task.operation) {
             return bad_field("operation", "must be 1 to 128 printable ASCII characters");
         }
@@ -101,6 +121,13 @@
     }
 }
 
+impl Shared {
+    /// Counts the final answer to a submission.
+    pub fn answered(&self, terms: &Terms, kind: Kind, outcome: Outcome) {
+        self.metrics.answered(&terms.service, kind, outcome, terms.received.elapsed());
+    }
+}
+
 /// Reads a JSON body.
 pub fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T> {
     Ok(serde_json::from_slice(body)?)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod links;
 mod task;
 mod text;
+mod traffic;
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
 pub use claim::{
@@ -24,6 +25,7 @@
 pub use link::{Link, dial, serve};
 pub use links::Links;
 pub use task::{read_id, read_task, write_id, write_task};
+pub use traffic::Traffic;
 
 /// Version of the protocol; peers with another one are refused.
 pub const PROTOCOL: u16 = 1;
