--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Error, Result, cli,
-    fleet::{Agents, Current, Peers, Registrar, Watcher},
+    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher},
     http,
     metrics::Metrics,
     rpc::EntryRpc,
@@ -32,6 +32,7 @@
     pub settings: Arc<EntrySettings>,
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
+    pub rosters: Arc<Rosters>,
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
@@ -58,6 +59,7 @@
     let shared = Shared {
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
+        rosters: Arc::default(),
         peers: Arc::default(),
         metrics: Arc::default(),
         started: Instant::now(),
@@ -74,6 +76,8 @@
     actix::spawn(wire::serve(listener, door));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
+    let rosters = shared.rosters.clone();
+    actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
     let registrar =
         Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Asks an entry how far a key has come.
+    pub async fn status(&self, entry: usize, key: &str) -> Sent {
+        let port = self.entry_ports[entry];
+        let url = format!("http://127.0.0.1:{port}/v1/ledger/status?team=coop&key={key}");
+        let body = fetch(&url).await.unwrap_or_default();
+        Sent { status: 200, body: serde_json::from_slice(&body).unwrap_or(Value::Null) }
+    }
+
     /// Starts `egretctl` against the platform and an entry.
     pub fn start_ctl(&self, entry: usize, args: &[&str]) -> Tool {
         let mut all = vec![
