Report on service-level burn, whose history outlives the entries

Cause: nothing told how fast a service spends its error budget. Ruled out: a scrape store of our own (state that must last belongs to the platform); an object a minute (its names can't be listed, 360 reads a report and entry). Change: burn counts final answers by minute and service; an entry rewrites one object an hour, at most one write a period (60 s), and catches up after an outage. Its row lists its processes, so that a report finds the objects of those that are gone. The report merges them, tells burn rates over 5 min/1 h and 30 min/6 h, and names missing stretches. Found on the way: hours before the first write weren't covered, a flush at the end stuck at an hour just over, and the tail of a lost entry whose successor is young wasn't named as missing (each test seen failing).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -45,6 +45,8 @@
     BackendSeen = 400 Info "backend server announced itself"
     BackendGone = 401 Warn "backend server stopped renewing"
     BackendLeft = 402 Info "backend server left"
+    CountsDown = 700 Warn "counts for the burn report can't be written"
+    CountsBack = 701 Info "counts for the burn report are written again"
 }
 
 impl Event {
--- /dev/null
+++ b/crates/burn/tests/report.rs
@@ -0,0 +1,164 @@
+//! Burn rates, merging of entries, and the stretches that are missing.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{Name, Outcome};
+use burn::{
+    Chunk, Count, Draft, Goal, HOUR_MS, MINUTE_MS, Objective, Past, Recorder, Report, State, page,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const NOW: u64 = 1000 * HOUR_MS + 30 * MINUTE_MS;
+const OBJECTIVE: Objective = Objective { timely_ppm: 990_000, honest_ppm: 999_000 };
+
+fn objectives() -> BTreeMap<Name, Objective> {
+    BTreeMap::from([("ledger".into(), OBJECTIVE)])
+}
+
+/// A process that counted in hours of its own, from `ago` minutes before now
+/// to `until` minutes before now.
+fn past(entry: &str, ago: u64, until: u64, minutes: &[(u64, Count)], ended: bool) -> Past {
+    let (started_ms, end) = (NOW - ago * MINUTE_MS, NOW - until * MINUTE_MS);
+    let mut recorder = Recorder::new(started_ms);
+    for (ago, count) in minutes {
+        recorder.add(&"ledger".into(), *count, NOW - ago * MINUTE_MS);
+    }
+    let mut chunks = Vec::new();
+    flush(&mut recorder, end, |draft| {
+        chunks.push(Chunk { ended: ended && draft.last, ..draft.chunk });
+    });
+    Past { entry: entry.into(), started_ms, chunks }
+}
+
+/// Writes everything, as at the end of a process.
+fn flush(recorder: &mut Recorder, now_ms: u64, mut store: impl FnMut(Draft)) {
+    loop {
+        let draft = recorder.draft(now_ms);
+        recorder.written(&draft, now_ms);
+        let last = draft.last;
+        store(draft);
+        if last {
+            return;
+        }
+    }
+}
+
+fn count(total: u64, timely: u64, honest: u64) -> Count {
+    Count { total, timely, honest }
+}
+
+macro_rules! missing {
+    ($($name:ident: [$($past:expr),*] => [$(($entry:literal, $from:literal, $to:literal)),*])*) => {
+        $(#[test]
+        fn $name() {
+            let report = Report::new(&[$($past),*], objectives(), NOW);
+            let ago = |ms: u64| (NOW - ms) / MINUTE_MS;
+            let found: Vec<_> =
+                report.missing.iter().map(|g| (&*g.entry, ago(g.from_ms), ago(g.to_ms))).collect();
+            assert_eq!(found, [$(($entry, $from, $to)),*] as [(&str, u64, u64); 0 $(+ missing!(@one $entry))*]);
+        })*
+    };
+    (@one $entry:literal) => { 1 };
+}
+
+missing! {
+    nothing_of_a_live_entry: [past("a", 90, 1, &[], false)] => []
+    nothing_of_one_that_stopped_in_order: [past("a", 90, 40, &[], true)] => []
+    tail_of_a_lost_one_until_its_successor:
+        [past("a", 90, 40, &[], false), past("a", 35, 0, &[], false)] => [("a", 40, 35)]
+    tail_of_a_lost_one_whose_successor_is_new:
+        [past("a", 90, 1, &[], false), past("a", 0, 0, &[], false)] => [("a", 1, 0)]
+    tail_of_a_lost_one_with_no_successor: [past("b", 90, 40, &[], false)] => [("b", 40, 2)]
+    everything_of_one_that_never_wrote:
+        [Past { entry: "c".into(), started_ms: NOW - 10 * MINUTE_MS, chunks: Vec::new() }]
+        => [("c", 10, 2)]
+    hour_lost_between_two: [{
+        let mut past = past("a", 180, 0, &[], false);
+        past.chunks.remove(1);
+        past
+    }] => [("a", 150, 90)]
+}
+
+#[test]
+fn entries_are_merged() {
+    let bad = count(100, 50, 100);
+    let good = count(100, 100, 100);
+    let report = Report::new(
+        &[past("a", 60, 0, &[(3, bad)], false), past("b", 60, 0, &[(3, good)], false)],
+        objectives(),
+        NOW,
+    );
+    let timely = &report.rows[0];
+    assert_eq!((timely.goal, timely.answers), (Goal::Timely, 200));
+    // a quarter is bad, and one in a hundred may be
+    assert!((timely.rates.minutes_5.expect("there are answers") - 25.0).abs() < 1e-9);
+    assert_eq!(report.rows[1].rates.minutes_5, Some(0.0));
+}
+
+#[test]
+fn both_windows_must_burn() {
+    let good: Vec<_> = (6..60).map(|ago| (ago, count(1000, 1000, 1000))).collect();
+    let short = [vec![(2, count(1000, 0, 1000))], good].concat();
+    let state = |minutes: &[(u64, Count)]| {
+        Report::new(&[past("a", 120, 0, minutes, false)], objectives(), NOW).rows[0].state
+    };
+    assert_eq!(state(&short), State::Fine);
+    let long: Vec<_> = (0..60).map(|ago| (ago, count(1000, 0, 1000))).collect();
+    assert_eq!(state(&long), State::Fast);
+    let slow: Vec<_> = (0..110).map(|ago| (ago, count(1000, 920, 1000))).collect();
+    assert_eq!(state(&slow), State::Slow);
+}
+
+#[test]
+fn refusals_and_late_answers_are_not_timely() {
+    let left = Some(Duration::from_millis(1));
+    assert_eq!(Count::of(Outcome::Done, left), count(1, 1, 1));
+    assert_eq!(Count::of(Outcome::Failed, left), count(1, 1, 1));
+    assert_eq!(Count::of(Outcome::Done, None), count(1, 0, 1));
+    assert_eq!(Count::of(Outcome::NotRun, left), count(1, 0, 1));
+    assert_eq!(Count::of(Outcome::Unknown, left), count(1, 0, 0));
+}
+
+#[test]
+fn page_names_every_service_and_gap() {
+    let lost = past("entry<1>", 90, 40, &[(50, count(10, 5, 10))], false);
+    let html = page(&Report::new(&[lost], objectives(), NOW)).expect("it can be drawn");
+    for part in ["<svg", "ledger", "entry&lt;1&gt;", "honest"] {
+        assert!(html.contains(part), "{part} is missing");
+    }
+}
+
+#[test]
+fn nothing_counted_is_lost_on_the_way_to_the_store() {
+    fn all_arrive(steps: Vec<(u8, bool)>) -> bool {
+        let mut now = 7 * HOUR_MS;
+        let mut recorder = Recorder::new(now);
+        let mut store = BTreeMap::new();
+        let mut added = 0;
+        for (minutes, up) in &steps {
+            now += u64::from(minutes % 60) * MINUTE_MS;
+            recorder.add(&"s".into(), count(1, 1, 1), now);
+            added += 1;
+            if *up {
+                let draft = recorder.draft(now);
+                // an answer while the write is on its way
+                recorder.add(&"s".into(), count(1, 1, 1), now);
+                added += 1;
+                recorder.written(&draft, now);
+                store.insert(draft.hour, draft.chunk);
+            }
+        }
+        flush(&mut recorder, now, |draft| drop(store.insert(draft.hour, draft.chunk)));
+        let kept: u64 = store
+            .values()
+            .flat_map(|c: &Chunk| c.minutes.values())
+            .flat_map(|services| services.values())
+            .map(|c| c.total)
+            .sum();
+        kept == added
+    }
+    // at most 24 hours without the store, which is what is kept
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 7))
+        .quickcheck(all_arrive as fn(Vec<(u8, bool)>) -> bool);
+}
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -42,6 +42,8 @@
     pub silence_ms: u64,
     /// time for the agents to greet a fresh entry before it is ready, milliseconds
     pub warm_ms: u64,
+    /// how often counts for the burn report are written, milliseconds
+    pub counts_ms: u64,
     /// time for the balancer to see this entry unready, milliseconds
     pub unready_ms: u64,
 }
@@ -60,6 +62,7 @@
             poll_ms: 1000,
             silence_ms: 2000,
             warm_ms: 1500,
+            counts_ms: 60_000,
             unready_ms: 500,
         }
     }
@@ -72,6 +75,7 @@
         at_least("body_bytes", self.body_bytes as u64, 1024, &mut faults);
         at_least("poll_ms", self.poll_ms, 50, &mut faults);
         at_least("silence_ms", self.silence_ms, 200, &mut faults);
+        at_least("counts_ms", self.counts_ms, 1000, &mut faults);
         faults
     }
 }
--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -107,6 +107,7 @@
             }
             Verb::Agents { format } => queries::agents(entry, format).await,
             Verb::Entries { format } => queries::entries(fleet, entry, format).await,
+            Verb::Burn { html, format } => queries::burn(fleet, html.as_deref(), format).await,
             Verb::History { format } => queries::history(fleet, format).await,
             Verb::Status { team, key, format, service } => {
                 queries::status(entry, &service, &team, &key, format).await
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -200,4 +200,15 @@
         #[bpaf(external)]
         format: Format,
     },
+    /// Report how fast each service spends its error budget
+    ///
+    /// Example: egretctl burn --html burn.html
+    #[bpaf(command("burn"))]
+    Burn {
+        /// also write a page with a plot
+        #[bpaf(long, argument("FILE"), optional)]
+        html: Option<String>,
+        #[bpaf(external)]
+        format: Format,
+    },
 }
--- a/crates/ctl/src/client/fleet.rs
+++ b/crates/ctl/src/client/fleet.rs
@@ -2,7 +2,7 @@
 
 use base::now_ms;
 use conf::Change;
-use plat::{HttpPlatform, Table, Version, Write, settle};
+use plat::{HttpPlatform, Objects, Table, Version, Write, settle};
 use uuid::Uuid;
 
 use crate::{Error, Result};
@@ -45,6 +45,11 @@
         &self.table
     }
 
+    /// The object store beside the table.
+    pub fn objects(&self) -> &dyn Objects {
+        &self.table
+    }
+
     /// Reads the document; an empty one when there is none.
     ///
     /// # Errors
--- a/crates/ctl/src/queries/mod.rs
+++ b/crates/ctl/src/queries/mod.rs
@@ -1,6 +1,7 @@
 //! What only reads. Each query gives a table for people or JSON for programs.
 
 mod agents;
+mod burn;
 mod defaults;
 mod entries;
 mod exceptions;
@@ -10,6 +11,7 @@
 mod status;
 
 pub use agents::agents;
+pub use burn::burn;
 pub use defaults::defaults;
 pub use entries::entries;
 pub use exceptions::exceptions;
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     Error, Result, cli,
+    counts::{Counts, Keeper},
     fleet::{Agents, Current, Peers, Registrar, Watcher},
     http,
     metrics::Metrics,
@@ -35,6 +36,7 @@
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
+    pub counts: Arc<Counts>,
     pub started: Instant,
     /// true from the start of a graceful shutdown
     pub stopping: Arc<AtomicBool>,
@@ -60,6 +62,7 @@
         fleet: Arc::default(),
         peers: Arc::default(),
         metrics: Arc::default(),
+        counts: Arc::default(),
         started: Instant::now(),
         stopping: Arc::default(),
         settings: Arc::new(settings),
@@ -75,9 +78,14 @@
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
+    let incarnation = clock_micros();
     let registrar =
-        Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
+        Registrar::new(platform.clone(), shared.peers.clone(), &shared.settings, incarnation);
     actix::spawn(registrar.run());
+    let name = shared.settings.name.clone();
+    let keeper = Rc::new(Keeper::new(platform, shared.counts.clone(), name, incarnation));
+    let period = Duration::from_millis(shared.settings.counts_ms);
+    actix::spawn(keep_counts(keeper.clone(), period));
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
@@ -86,10 +94,15 @@
     shared.stopping.store(true, Ordering::Release);
     sleep(Duration::from_millis(shared.settings.unready_ms)).await;
     server.stop(true).await;
+    keeper.finish().await;
     Event::Stopped.log(format_args!("{}", shared.settings.name));
     Ok(())
 }
 
+async fn keep_counts(keeper: Rc<Keeper>, period: Duration) {
+    keeper.run(period).await;
+}
+
 async fn stop_signal() {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
--- /dev/null
+++ b/crates/entry/src/counts.rs
@@ -0,0 +1,103 @@
+//! Counts of final answers for the report on service-level burn: kept by the
+//! minute and written to the object store, one object at a time.
+
+use std::{
+    rc::Rc,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use base::{Event, Name, now_ms};
+use burn::{Chunk, Count, Draft, Recorder};
+use plat::Objects;
+use tokio::time::sleep;
+
+/// Time for the last counts of a process that stops.
+const FINISH_LIMIT: Duration = Duration::from_secs(3);
+
+/// Counts of this process that the threads share.
+pub struct Counts {
+    recorder: Mutex<Recorder>,
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        Self { recorder: Mutex::new(Recorder::new(now_ms())) }
+    }
+}
+
+impl Counts {
+    pub fn add(&self, service: &Name, count: Count) {
+        self.with(|recorder| recorder.add(service, count, now_ms()));
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Recorder) -> T) -> T {
+        act(&mut self.recorder.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Writes the counts to the object store, one object at each period.
+pub struct Keeper {
+    objects: Rc<dyn Objects>,
+    counts: Arc<Counts>,
+    entry: Name,
+    incarnation: u64,
+}
+
+/// Whether the process goes on after a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    GoesOn,
+    Ends,
+}
+
+impl Keeper {
+    pub fn new(
+        objects: Rc<dyn Objects>,
+        counts: Arc<Counts>,
+        entry: Name,
+        incarnation: u64,
+    ) -> Self {
+        Self { objects, counts, entry, incarnation }
+    }
+
+    pub async fn run(&self, period: Duration) {
+        let mut up = true;
+        loop {
+            sleep(period).await;
+            let written = self.write(Life::GoesOn).await;
+            match (&written, up) {
+                (Ok(_), false) => Event::CountsBack.log(format_args!("{}", self.entry)),
+                (Err(e), true) => Event::CountsDown.log(format_args!("{e}")),
+                _ => {}
+            }
+            up = written.is_ok();
+        }
+    }
+
+    /// Writes all that is left, if the store takes it in time.
+    pub async fn finish(&self) {
+        let all = async {
+            while let Ok(draft) = self.write(Life::Ends).await {
+                if draft.last {
+                    return;
+                }
+            }
+        };
+        if tokio::time::timeout(FINISH_LIMIT, all).await.is_err() {
+            Event::CountsDown.log(format_args!("not in time for the end of the process"));
+        }
+    }
+
+    async fn write(&self, life: Life) -> plat::Result<Draft> {
+        let now = now_ms();
+        let draft = self.counts.with(|recorder| recorder.draft(now));
+        let ended = life == Life::Ends && draft.last;
+        let chunk = Chunk { ended, ..draft.chunk.clone() };
+        let text = chunk.to_text().map_err(|e| plat::Error::Malformed(e.to_string()))?;
+        let name = Chunk::name(&self.entry, self.incarnation, draft.hour);
+        self.objects.store(&name, text).await?;
+        self.counts.with(|recorder| recorder.written(&draft, now));
+        Ok(draft)
+    }
+}
--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -2,6 +2,7 @@
 
 use actix_web::{HttpRequest, web::Bytes};
 use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId};
+use burn::Count;
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use uuid::Uuid;
@@ -95,6 +96,8 @@
     /// Counts the final answer to a submission.
     pub fn answered(&self, terms: &Terms, kind: Kind, outcome: Outcome) {
         self.metrics.answered(&terms.service, kind, outcome, terms.received.elapsed());
+        let left = terms.deadline.checked_duration_since(Instant::now());
+        self.counts.add(&terms.service, Count::of(outcome, left));
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod app;
 mod call;
 mod cli;
+mod counts;
 mod fleet;
 mod http;
 mod metrics;
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -90,6 +90,7 @@
             "poll_ms": 200,
             "warm_ms": 400,
             "unready_ms": 100,
+            "counts_ms": 1000,
         });
         self.start_with("egret-entry", &format!("entry-{i}"), &settings)
     }
