--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 //! fleet configuration in force.
 
 mod agents;
+mod peer;
 mod peers;
 mod registrar;
 mod watcher;
 
 pub use agents::{Agents, Seen};
 pub use conf::Current;
+pub use peer::Peer;
 pub use peers::Peers;
 pub use registrar::Registrar;
 pub use watcher::Watcher;
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -1,5 +1,3 @@
-use std::fmt;
-
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use serde::Serialize;
 
@@ -10,6 +8,8 @@
     Malformed(String),
     #[error("the body is too large: split the job, or ask the operator for more body_bytes")]
     TooLarge,
+    #[error("the body came too slowly: send it within 10 s")]
+    SlowBody,
     #[error("there is no service {0}; ask the operator which services there are")]
     UnknownService(String),
     #[error("team {0} may not call this service; ask the operator to add it")]
@@ -59,6 +59,7 @@
         match self {
             Error::Malformed(_) => "malformed",
             Error::TooLarge => "too-large",
+            Error::SlowBody => "slow-body",
             Error::UnknownService(_) => "unknown-service",
             Error::UnknownTeam(_) => "unknown-team",
             Error::DeadlinePassed => "deadline-passed",
@@ -81,6 +82,7 @@
                 StatusCode::BAD_REQUEST
             }
             Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Error::UnknownService(_) | Error::UnknownPath(_) | Error::UnknownAgent(_) => {
                 StatusCode::NOT_FOUND
             }
@@ -101,15 +103,6 @@
     }
 }
 
-impl From<actix_web::error::PayloadError> for Error {
-    fn from(e: actix_web::error::PayloadError) -> Self {
-        match e {
-            actix_web::error::PayloadError::Overflow => Error::TooLarge,
-            e => Error::Malformed(e.to_string()),
-        }
-    }
-}
-
 impl From<serde_json::Error> for Error {
     fn from(e: serde_json::Error) -> Self {
         Error::Malformed(e.to_string())
@@ -120,9 +113,3 @@
 pub fn bad_field<T>(field: &'static str, why: &'static str) -> Result<T> {
     Err(Error::Field { field, why })
 }
-
-impl fmt::Display for Detail<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.code, self.message)
-    }
-}
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -10,6 +10,7 @@
 
 use super::{
     answer::{AnswerBody, Content, respond},
+    body::Body,
     error::{Error, MAX_TASKS, Result},
     submit::{Asked, TaskBody, Terms, parse},
 };
@@ -33,9 +34,9 @@
     dispatcher: Data<Dispatcher>,
     service: Path<String>,
     http: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse> {
-    let job: JobBody = parse(&body)?;
+    let job: JobBody = parse(&body.0)?;
     let count = job.tasks.len();
     if count == 0 || count > MAX_TASKS {
         return Err(Error::TaskCount(count));
@@ -48,7 +49,9 @@
         repeatable: job.repeatable,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
-    let runs = (0..).zip(job.tasks).map(|(i, task)| dispatcher.run(terms.task(i, task)));
+    let tasks = (0..).zip(job.tasks).map(|(i, task)| terms.task(i, task));
+    let tasks = tasks.collect::<Result<Vec<_>>>()?;
+    let runs = tasks.into_iter().map(|t| dispatcher.run(t));
     let in_flight = shared.metrics.begin(&terms.service);
     let answers = try_join_all(runs).await?;
     drop(in_flight);
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod answer;
+mod body;
 mod error;
 mod health;
 mod job;
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -1,6 +1,6 @@
 use actix_web::{
     HttpRequest, HttpResponse,
-    web::{Bytes, Data, Path},
+    web::{Data, Path},
 };
 use base::Name;
 use serde::Deserialize;
@@ -8,6 +8,7 @@
 
 use super::{
     answer::{AnswerBody, respond},
+    body::Body,
     error::Result,
     submit::{Asked, TaskBody, Terms, default_operation, parse},
 };
@@ -34,9 +35,9 @@
     dispatcher: Data<Dispatcher>,
     service: Path<String>,
     http: HttpRequest,
-    body: Bytes,
+    body: Body,
 ) -> Result<HttpResponse> {
-    let req: RequestBody = parse(&body)?;
+    let req: RequestBody = parse(&body.0)?;
     let asked = Asked {
         team: req.team,
         key: req.key,
@@ -47,7 +48,7 @@
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
     let in_flight = shared.metrics.begin(&terms.service);
-    let answer = dispatcher.run(terms.task(0, task)).await?;
+    let answer = dispatcher.run(terms.task(0, task)?).await?;
     drop(in_flight);
     shared.answered(&terms, Kind::Request, answer.outcome);
     Ok(respond(&answer, &AnswerBody::new(&terms.key, &answer)))
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -16,7 +16,7 @@
     let threads = shared.settings.threads;
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let dispatcher = Dispatcher::new(shared.agents.clone(), shared.settings.token.clone());
+        let dispatcher = Dispatcher::new(shared.agents.clone(), &shared.settings);
         App::new()
             .wrap(from_fn(refusals))
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
