--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -125,16 +125,7 @@
 
     /// Sends a request or a job through an entry.
     pub async fn send(&self, entry: usize, kind: &str, body: &Value) -> Sent {
-        let url = format!("http://127.0.0.1:{}/v1/ledger/{kind}", self.entry_ports[entry]);
-        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
-        match client.post(url).send_json(body).await {
-            Ok(mut res) => {
-                let status = res.status().as_u16();
-                let bytes = res.body().limit(16 << 20).await.unwrap_or_default();
-                Sent { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) }
-            }
-            Err(_) => Sent { status: 0, body: Value::Null },
-        }
+        send(self.entry_ports[entry], kind, body).await
     }
 
     /// Asks an entry how far a key has come.
@@ -231,6 +222,20 @@
     }
 }
 
+/// Sends a request or a job to a port of an entry.
+pub async fn send(port: u16, kind: &str, body: &Value) -> Sent {
+    let url = format!("http://127.0.0.1:{port}/v1/ledger/{kind}");
+    let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+    match client.post(url).send_json(body).await {
+        Ok(mut res) => {
+            let status = res.status().as_u16();
+            let bytes = res.body().limit(16 << 20).await.unwrap_or_default();
+            Sent { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) }
+        }
+        Err(_) => Sent { status: 0, body: Value::Null },
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.folder);
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -7,6 +7,6 @@
 mod tool;
 
 pub use balancer::Balancer;
-pub use fleet::{Deployment, Sent};
+pub use fleet::{Deployment, Sent, send};
 pub use process::{Process, free_port};
 pub use tool::{Ran, Tool};
