--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -8,7 +8,7 @@
 };
 
 use actix::Addr;
-use base::{Event, Name, Token};
+use base::{Event, Member, Name, Token};
 use conf::{AgentSettings, Current, Snapshot};
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
@@ -41,6 +41,17 @@
             service: settings.service.clone(),
         }
     }
+
+    /// How a roster lists this agent.
+    pub fn member(&self) -> Member {
+        Member {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            centre: self.centre.clone(),
+            rack: self.rack.clone(),
+        }
+    }
 }
 
 /// Greets every entry at each beat, and learns of further entries.
--- a/crates/base/src/task.rs
+++ b/crates/base/src/task.rs
@@ -10,6 +10,9 @@
 pub struct Digest(pub u128);
 
 impl Digest {
+    /// Of a key that is asked about without its submission.
+    pub const UNKNOWN: Digest = Digest(0);
+
     pub fn new(operation: &str, body: &[u8]) -> Self {
         let mut h = Xxh3::new();
         h.update(operation.as_bytes());
@@ -18,6 +21,15 @@
         Self(h.digest128())
     }
 
+    /// Digest of a whole submission, from those of its tasks in order.
+    pub fn whole(tasks: impl Iterator<Item = Digest>) -> Self {
+        let mut h = Xxh3::new();
+        for task in tasks {
+            h.update(&task.0.to_le_bytes());
+        }
+        Self(h.digest128())
+    }
+
     pub fn high(self) -> u64 {
         (self.0 >> 64) as u64
     }
@@ -46,9 +58,12 @@
     pub repeatable: bool,
     /// declared run time, never trusted
     pub declared: Option<Duration>,
+    /// of the whole submission
     pub digest: Digest,
-    /// this placement of the task
-    pub offer: u64,
+    /// when the entry took the call, unix milliseconds
+    pub started: u64,
+    /// tasks of the submission
+    pub count: u32,
     pub body: Bytes,
 }
 
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -5,7 +5,7 @@
     web::{Data, PayloadConfig, get, post},
 };
 
-use super::{admin, health, job, refusal::refusals, request};
+use super::{admin, health, job, key, refusal::refusals, request};
 use crate::{Error, Result, app::Shared, call::Dispatcher};
 
 const SHUTDOWN_SECONDS: u64 = 120;
@@ -16,7 +16,7 @@
     let threads = shared.settings.threads;
     let shared = shared.clone();
     let server = HttpServer::new(move || {
-        let dispatcher = Dispatcher::new(shared.agents.clone(), &shared.settings);
+        let dispatcher = Dispatcher::new(&shared);
         App::new()
             .wrap(from_fn(refusals))
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
@@ -24,6 +24,8 @@
             .app_data(Data::new(dispatcher))
             .route("/v1/{service}/request", post().to(request::submit))
             .route("/v1/{service}/job", post().to(job::submit))
+            .route("/v1/{service}/status", get().to(key::status))
+            .route("/v1/{service}/cancel", post().to(key::cancel))
             .route("/admin/entry", get().to(admin::entry))
             .route("/admin/agents", get().to(admin::agents))
             .route("/admin/agents/{agent}/drain", post().to(admin::drain))
--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpRequest, web::Bytes};
-use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId};
+use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId, now_ms};
 use burn::Count;
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
@@ -23,6 +23,10 @@
     pub received: Instant,
     pub deadline: Instant,
     pub repeatable: bool,
+    /// when the call was taken, unix milliseconds
+    pub started: u64,
+    /// tasks of the submission
+    pub count: u32,
 }
 
 /// The same as the caller writes it.
@@ -32,6 +36,8 @@
     pub issued_ms: Option<u64>,
     pub deadline_ms: Option<u64>,
     pub repeatable: bool,
+    /// tasks of the submission
+    pub count: usize,
 }
 
 /// One task as the caller writes it.
@@ -47,22 +53,20 @@
 impl Terms {
     /// Checks what the caller asks against the fleet configuration.
     pub fn check(shared: &Shared, http: &HttpRequest, service: &str, asked: Asked) -> Result<Self> {
-        let snapshot = shared.fleet.get();
-        let Some((service, known)) = snapshot.fleet.services.get_key_value(service) else {
-            return Err(Error::UnknownService(service.to_owned()));
-        };
-        if !known.teams.contains_key(&asked.team) {
-            return Err(Error::UnknownTeam(asked.team.to_string()));
-        }
+        let service = check_team(shared, service, &asked.team)?;
         let given = given_key(http, asked.key)?;
-        let default_ms = snapshot.fleet.effective(service).deadline_ms;
+        let default_ms = shared.fleet.get().fleet.effective(&service).deadline_ms;
         let deadline = check_deadline(asked.deadline_ms.unwrap_or(default_ms))?;
         let received = Instant::now();
         let keyed = given.is_some();
         let key = given.unwrap_or_else(|| Uuid::now_v7().to_string().into());
         let issued = asked.issued_ms.or_else(|| issue_time(&key));
+        let started = now_ms();
+        if keyed {
+            check_issued(shared, issued, started)?;
+        }
         Ok(Self {
-            service: service.clone(),
+            service,
             team: asked.team,
             key,
             keyed,
@@ -70,14 +74,33 @@
             received,
             deadline: received + deadline,
             repeatable: asked.repeatable,
+            started,
+            count: asked.count as u32,
         })
     }
 
-    /// The task at a place of the submission.
+    /// The task of a request.
     ///
     /// # Errors
     /// When its operation can't go into a header.
-    pub fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
+    pub fn request(&self, task: TaskBody) -> Result<Task> {
+        let task = self.task(0, task)?;
+        Ok(Task { digest: Digest::whole([task.digest].into_iter()), ..task })
+    }
+
+    /// The tasks of a job, in order; each carries the digest of the whole job.
+    ///
+    /// # Errors
+    /// When an operation can't go into a header.
+    pub fn tasks(&self, tasks: Vec<TaskBody>) -> Result<Vec<Task>> {
+        let tasks = (0..).zip(tasks).map(|(i, task)| self.task(i, task));
+        let mut tasks = tasks.collect::<Result<Vec<_>>>()?;
+        let digest = Digest::whole(tasks.iter().map(|task| task.digest));
+        tasks.iter_mut().for_each(|task| task.digest = digest);
+        Ok(tasks)
+    }
+
+    fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
         if !is_plain(&task.operation) {
             return bad_field("operation", "must be 1 to 128 printable ASCII characters");
         }
@@ -92,7 +115,8 @@
             keyed: self.keyed,
             repeatable: self.repeatable,
             declared: task.size_ms.map(Duration::from_millis),
-            offer: 0,
+            started: self.started,
+            count: self.count,
             body,
         })
     }
@@ -144,13 +168,39 @@
     Ok(deadline)
 }
 
+/// The service, if the team may call it.
+pub fn check_team(shared: &Shared, service: &str, team: &Name) -> Result<Name> {
+    let snapshot = shared.fleet.get();
+    let Some((service, known)) = snapshot.fleet.services.get_key_value(service) else {
+        return Err(Error::UnknownService(service.to_owned()));
+    };
+    if !known.teams.contains_key(team) {
+        return Err(Error::UnknownTeam(team.to_string()));
+    }
+    Ok(service.clone())
+}
+
+/// Agents remember a key for the retention only, and trust issue times only
+/// as far as clocks can be.
+pub fn check_issued(shared: &Shared, issued: Option<u64>, now: u64) -> Result<()> {
+    let Some(issued) = issued else { return Ok(()) };
+    let settings = &shared.settings;
+    if issued > now.saturating_add(settings.skew_ms) {
+        return bad_field("issued_ms", "lies in the future: check the clock");
+    }
+    if issued.saturating_add(settings.retention_ms) <= now.saturating_add(settings.skew_ms) {
+        return Err(Error::KeyExpired(settings.retention_ms));
+    }
+    Ok(())
+}
+
 /// Whether a text can be a header's value as it is.
 fn is_plain(text: &str) -> bool {
     (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| (b' '..=b'~').contains(&b))
 }
 
 /// Unix milliseconds at which a UUIDv7 key was made.
-fn issue_time(key: &str) -> Option<u64> {
+pub fn issue_time(key: &str) -> Option<u64> {
     let uuid = Uuid::parse_str(key).ok()?;
     let time = uuid.get_timestamp().filter(|_| uuid.get_version_num() == 7)?;
     let (seconds, nanos) = time.to_unix();
--- a/crates/queue/src/fifo.rs
+++ b/crates/queue/src/fifo.rs
@@ -77,6 +77,10 @@
         Some(waiting.item)
     }
 
+    fn resize(&mut self, slots: usize) {
+        self.settings.slots = slots;
+    }
+
     fn end(&mut self, run: RunKey, ran: Option<Duration>) {
         self.running.remove(run);
         match ran {
