--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,7 +20,8 @@
 
 use crate::{
     Error, Result, cli,
-    fleet::{Agents, Current, Peers, Registrar, Watcher},
+    counts::{Counts, Keeper},
+    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher},
     http,
     metrics::Metrics,
     rpc::EntryRpc,
@@ -32,9 +33,11 @@
     pub settings: Arc<EntrySettings>,
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
+    pub rosters: Arc<Rosters>,
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
+    pub counts: Arc<Counts>,
     pub started: Instant,
     /// true from the start of a graceful shutdown
     pub stopping: Arc<AtomicBool>,
@@ -58,8 +61,10 @@
     let shared = Shared {
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
+        rosters: Arc::default(),
         peers: Arc::default(),
         metrics: Arc::default(),
+        counts: Arc::default(),
         started: Instant::now(),
         stopping: Arc::default(),
         settings: Arc::new(settings),
@@ -74,10 +79,17 @@
     actix::spawn(wire::serve(listener, door));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
+    let rosters = shared.rosters.clone();
+    actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
+    let incarnation = clock_micros();
     let registrar =
-        Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
+        Registrar::new(platform.clone(), shared.peers.clone(), &shared.settings, incarnation);
     actix::spawn(registrar.run());
+    let name = shared.settings.name.clone();
+    let keeper = Rc::new(Keeper::new(platform, shared.counts.clone(), name, incarnation));
+    let period = Duration::from_millis(shared.settings.counts_ms);
+    actix::spawn(keep_counts(keeper.clone(), period));
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
@@ -86,10 +98,15 @@
     shared.stopping.store(true, Ordering::Release);
     sleep(Duration::from_millis(shared.settings.unready_ms)).await;
     server.stop(true).await;
+    keeper.finish().await;
     Event::Stopped.log(format_args!("{}", shared.settings.name));
     Ok(())
 }
 
+async fn keep_counts(keeper: Rc<Keeper>, period: Duration) {
+    keeper.run(period).await;
+}
+
 async fn stop_signal() {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
--- /dev/null
+++ b/crates/entry/src/call/keyed.rs
@@ -0,0 +1,166 @@
+use std::time::{Duration, Instant};
+
+use base::{Answer, Outcome, Task};
+use claim::{Call, Event, Grant, Holder, Step};
+use tokio::time::sleep;
+use wire::{Reply, read_load, read_reply, write_id};
+
+use super::{
+    dispatcher::{Dispatcher, Error, Result, Tried, claim_of, no_agent},
+    home::Query,
+};
+
+/// Offers that agents may refuse before the call is refused.
+const MAX_REFUSALS: u32 = 3;
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+const MAX_PAUSE: Duration = Duration::from_millis(250);
+/// Tries to have a call barred before its caller is told `unknown`.
+const BAR_TRIES: u32 = 3;
+
+/// One call of a keyed task on its way to the answer.
+pub struct Keyed<'a> {
+    dispatcher: &'a Dispatcher,
+    task: Task,
+    call: Call,
+    refusals: u32,
+    pause: Duration,
+}
+
+impl<'a> Keyed<'a> {
+    pub fn new(dispatcher: &'a Dispatcher, task: Task) -> Self {
+        let call = Call::new(no_agent());
+        Self { dispatcher, task, call, refusals: 0, pause: FIRST_PAUSE }
+    }
+
+    /// Follows the call to its answer; the deadline is kept outside.
+    ///
+    /// # Errors
+    /// `Conflict` when the key was used with another body.
+    pub async fn run(mut self) -> Result<Answer> {
+        let mut step = Step::Offer;
+        loop {
+            let event = match step {
+                Step::Offer => self.offer().await,
+                Step::Attach(holder) => self.attach(holder).await,
+                Step::Look => self.look().await,
+                Step::Bar => self.bar().await,
+                Step::Answer(answer) => return Ok(self.with_retry(answer)),
+                Step::Conflict => return Err(Error::Conflict),
+            };
+            step = self.call.next(event);
+        }
+    }
+
+    async fn offer(&mut self) -> Event {
+        if self.refusals == MAX_REFUSALS {
+            return Event::NoAgent(self.call.refusal().clone());
+        }
+        let Some(chosen) = self.dispatcher.choose_beside_home(&self.task) else {
+            return Event::NoAgent(no_agent());
+        };
+        let tried = self.dispatcher.offer(&chosen, &self.task).await;
+        drop(chosen);
+        match tried {
+            Tried::Replied(reply) => self.replied(reply).await,
+            Tried::Unsent => self.declined(no_agent()).await,
+            Tried::Lost(_) => Event::Silent,
+        }
+    }
+
+    async fn replied(&mut self, reply: Reply) -> Event {
+        match reply {
+            Reply::Answer(answer) => Event::Answered(answer),
+            Reply::Held(holder) => Event::Held(holder),
+            Reply::Conflict => Event::Conflict,
+            Reply::Declined(answer) => self.declined(answer).await,
+        }
+    }
+
+    /// Waits a little before the next offer. A refusal counts; trouble with
+    /// the home does not, for it may be over before the deadline.
+    async fn declined(&mut self, answer: Answer) -> Event {
+        let refused = answer.outcome == Outcome::NotRun;
+        self.refusals += u32::from(refused);
+        self.rest().await;
+        Event::Declined(if refused { answer } else { no_agent() })
+    }
+
+    async fn attach(&mut self, holder: Holder) -> Event {
+        loop {
+            let Some(peer) = self.dispatcher.agents.get(&holder.name) else {
+                self.rest().await;
+                continue;
+            };
+            if peer.incarnation > holder.incarnation {
+                return Event::HolderLost(holder);
+            }
+            match self.try_attach(peer.address, &holder).await {
+                Ok(reply) => {
+                    self.dispatcher.learn(&self.task, &reply);
+                    return self.replied(reply).await;
+                }
+                Err(wire::Error::Absent { .. }) => return Event::HolderLost(holder),
+                Err(_) => self.rest().await,
+            }
+        }
+    }
+
+    async fn try_attach(
+        &self,
+        address: std::net::SocketAddr,
+        holder: &Holder,
+    ) -> wire::Result<Reply> {
+        let link = self.dispatcher.links.get(address).await?;
+        let mut req = link.agent()?.attach_request();
+        write_id(req.get().init_id(), &self.task.id);
+        let left = self.task.left(Instant::now()).as_millis();
+        req.get().set_left_ms(left.try_into().unwrap_or(u32::MAX));
+        req.get().set_incarnation(holder.incarnation);
+        let res = req.send().promise.await?;
+        let reply = res.get()?.get_reply()?;
+        self.dispatcher.agents.refresh(&holder.name, read_load(reply.get_load()?));
+        read_reply(reply)
+    }
+
+    /// Asks who holds the claim until the home tells.
+    async fn look(&mut self) -> Event {
+        loop {
+            if let Some(grant) = self.ask(Query::Look).await
+                && !matches!(grant, Grant::NotHome { .. })
+            {
+                return Event::Looked(grant);
+            }
+            self.rest().await;
+        }
+    }
+
+    async fn bar(&mut self) -> Event {
+        for _ in 0..BAR_TRIES {
+            if let Some(grant) = self.ask(Query::Bar).await
+                && !matches!(grant, Grant::NotHome { .. })
+            {
+                return Event::Barred(grant);
+            }
+            self.rest().await;
+        }
+        Event::NoHome
+    }
+
+    async fn ask(&self, query: Query) -> Option<Grant> {
+        let claim = claim_of(&self.task);
+        Some(self.dispatcher.ask_home(&self.task.service, &claim, query).await?.grant)
+    }
+
+    async fn rest(&mut self) {
+        sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+
+    /// A caller that comes back sooner would meet its own bar.
+    fn with_retry(&self, mut answer: Answer) -> Answer {
+        if answer.outcome == Outcome::NotRun {
+            answer.retry_after = answer.retry_after.max(self.dispatcher.bar_retry);
+        }
+        answer
+    }
+}
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod peer;
 mod peers;
 mod registrar;
+mod rosters;
 mod watcher;
 
 pub use agents::{Agents, Seen};
@@ -12,4 +13,5 @@
 pub use peer::Peer;
 pub use peers::Peers;
 pub use registrar::Registrar;
+pub use rosters::Rosters;
 pub use watcher::Watcher;
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -47,10 +47,11 @@
         issued_ms: job.issued_ms,
         deadline_ms: job.deadline_ms,
         repeatable: job.repeatable,
+        count,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
-    let tasks = (0..).zip(job.tasks).map(|(i, task)| terms.task(i, task));
-    let tasks = tasks.collect::<Result<Vec<_>>>()?;
+    let tasks = terms.tasks(job.tasks)?;
+    dispatcher.check_key(&tasks[0]).await?;
     let runs = tasks.into_iter().map(|t| dispatcher.run(t));
     let in_flight = shared.metrics.begin(&terms.service);
     let answers = try_join_all(runs).await?;
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -44,11 +44,12 @@
         issued_ms: req.issued_ms,
         deadline_ms: req.deadline_ms,
         repeatable: req.repeatable,
+        count: 1,
     };
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let task = TaskBody { operation: req.operation, size_ms: req.size_ms, body: req.body };
     let in_flight = shared.metrics.begin(&terms.service);
-    let answer = dispatcher.run(terms.task(0, task)?).await?;
+    let answer = dispatcher.run(terms.request(task)?).await?;
     drop(in_flight);
     shared.answered(&terms, Kind::Request, answer.outcome);
     Ok(respond(&answer, &AnswerBody::new(&terms.key, &answer)))
