--- a/crates/agent/src/home/claimer.rs
+++ b/crates/agent/src/home/claimer.rs
@@ -63,7 +63,7 @@
     /// have granted it all the same.
     pub async fn ask(&self, claim: Claim) -> Option<Grant> {
         let Some(home) = self.state.homes.home(&claim.id) else {
-            return Some(Grant::NotHome { epoch: self.state.homes.epoch() });
+            return Some(self.unasked());
         };
         if home.name == self.state.me.name {
             return Some(self.state.desk.claim(&self.state.me, claim));
@@ -106,10 +106,12 @@
         // other tasks that are ready now may ask the same home
         yield_now().await;
         let batch = self.state.waiting.borrow_mut().remove(&home).unwrap_or_default();
-        match self.claim(home, &batch).await {
-            Ok(grants) => self.hand_out(batch, grants),
-            Err(e) => Event::HomeSilent.log(format_args!("{home}: {e}")),
-        }
+        let grants = match self.claim(home, &batch).await {
+            Ok(grants) => grants,
+            Err(e) if is_unsent(&e) => vec![self.unasked(); batch.len()],
+            Err(e) => return Event::HomeSilent.log(format_args!("{home}: {e}")),
+        };
+        self.hand_out(batch, grants);
     }
 
     fn hand_out(&self, batch: Vec<Ask>, grants: Vec<Grant>) {
@@ -121,6 +123,11 @@
         }
     }
 
+    /// No home was asked, so none has granted anything.
+    fn unasked(&self) -> Grant {
+        Grant::NotHome { epoch: self.state.homes.epoch() }
+    }
+
     /// Nobody waits for the grant any more.
     fn give_back(&self, claim: Claim) {
         let claimer = self.clone();
@@ -160,3 +167,8 @@
         Ok(())
     }
 }
+
+fn is_unsent(error: &wire::Error) -> bool {
+    use wire::Error::{Absent, Connect, Refused};
+    matches!(error, Connect { .. } | Absent { .. } | Refused { .. })
+}
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -179,7 +179,7 @@
 
     /// Ends when an agent is no longer heard.
     async fn silent(&self, agent: &Peer, link: &Link) {
-        while !link.is_down() && agent.seen().at.elapsed() <= self.agents.silence() {
+        while !link.is_down() && !agent.is_silent(self.agents.silence()) {
             sleep(WATCH).await;
         }
     }
--- a/crates/entry/src/fleet/peer.rs
+++ b/crates/entry/src/fleet/peer.rs
@@ -61,6 +61,11 @@
         self.state().info.load.ready
     }
 
+    /// Whether it has not greeted for some time.
+    pub fn is_silent(&self, silence: Duration) -> bool {
+        self.state().greeted.elapsed() > silence
+    }
+
     pub fn seen(&self) -> Seen {
         let state = self.state();
         Seen { info: state.info.clone(), at: state.greeted }
