--- a/crates/agent/src/home/desk.rs
+++ b/crates/agent/src/home/desk.rs
@@ -53,6 +53,16 @@
         self.table.borrow_mut().expire(self.clock.now());
     }
 
+    /// Claims and bars kept.
+    pub fn len(&self) -> usize {
+        self.table.borrow().len()
+    }
+
+    /// Memory of the claims and bars kept, bytes.
+    pub fn bytes(&self) -> usize {
+        self.table.borrow().bytes()
+    }
+
     /// A stranger's record could not be collected by the next home; and the
     /// loss of one VM must not take the claim and the record of the start.
     fn may_hold(&self, by: &Member) -> bool {
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -11,7 +11,7 @@
 use crate::{
     Error, Result,
     metrics::{self, Labels},
-    run::{Announce, Inspect, Leave, Runner},
+    run::{Announce, Inspect, Leave, Remembered, Runner},
 };
 
 /// Starts the HTTP side: announcements of the backend server, health, metrics.
@@ -73,7 +73,8 @@
     labels: Data<Labels>,
 ) -> HttpResponse {
     let load = runner.send(Inspect).await.unwrap_or_default();
-    match metrics::page(&labels, &load, fleet.version()) {
+    let kept = runner.send(Remembered).await.unwrap_or_default();
+    match metrics::page(&labels, &load, &kept, fleet.version()) {
         Ok(text) => HttpResponse::Ok().content_type(metrics::CONTENT_TYPE).body(text),
         Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
     }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -6,6 +6,8 @@
 };
 use wire::Load;
 
+use crate::run::Kept;
+
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// What tells this agent's figures from those of others.
@@ -25,7 +27,12 @@
 ///
 /// # Errors
 /// When they can't be written as text.
-pub fn page(labels: &Labels, load: &Load, version: u64) -> Result<String, std::fmt::Error> {
+pub fn page(
+    labels: &Labels,
+    load: &Load,
+    kept: &Kept,
+    version: u64,
+) -> Result<String, std::fmt::Error> {
     let figures = [
         ("egret_queued", "Tasks that wait", u64::from(load.queued)),
         ("egret_running", "Tasks that run", load.running.into()),
@@ -33,6 +40,10 @@
         ("egret_ready", "Whether new work is taken", load.ready.into()),
         ("egret_backlog_ms", "Run time waiting and left", load.backlog.as_millis() as u64),
         ("egret_mean_run_us", "Mean observed run time", load.mean.as_micros() as u64),
+        ("egret_claims", "Claims and bars kept as home", kept.claims as u64),
+        ("egret_claim_bytes", "Memory of claims and bars", kept.claim_bytes as u64),
+        ("egret_records", "Records of tasks kept", kept.records as u64),
+        ("egret_record_bytes", "Memory of records with answers", kept.record_bytes as u64),
         ("egret_configuration_version", "Fleet configuration in force", version),
         ("egret_invariants_broken", "Invariants broken since the start", base::broken_count()),
     ];
--- a/crates/agent/src/run/message.rs
+++ b/crates/agent/src/run/message.rs
@@ -78,6 +78,20 @@
 #[rtype(result = "Load")]
 pub struct Inspect;
 
+/// Asks how much is remembered.
+#[derive(Message)]
+#[rtype(result = "Kept")]
+pub struct Remembered;
+
+/// What the agent remembers, as home and as executor.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Kept {
+    pub claims: usize,
+    pub claim_bytes: usize,
+    pub records: usize,
+    pub record_bytes: usize,
+}
+
 /// The home's word on a claim; none came in time when it is `None`.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -15,8 +15,8 @@
 use super::{
     backend::Backend,
     message::{
-        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Leave, Offer, Released,
-        Response, Status, Word,
+        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Kept, Leave, Offer, Released,
+        Remembered, Response, Status, Word,
     },
     waiting::{Call, Waiting},
 };
@@ -488,6 +488,19 @@
     }
 }
 
+impl Handler<Remembered> for Runner {
+    type Result = MessageResult<Remembered>;
+
+    fn handle(&mut self, _: Remembered, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(Kept {
+            claims: self.desk.len(),
+            claim_bytes: self.desk.bytes(),
+            records: self.records.len(),
+            record_bytes: self.records.bytes(),
+        })
+    }
+}
+
 impl Handler<HandOver> for Runner {
     type Result = MessageResult<HandOver>;
 
--- /dev/null
+++ b/crates/claim/tests/limits.rs
@@ -0,0 +1,123 @@
+//! What is kept is bounded; nothing is dropped early to make room.
+
+use std::time::Duration;
+
+use base::{Answer, Digest, TaskId};
+use claim::{Claim, Grant, Holder, Limits, Now, Records, Release, Seen, Table, Tenure};
+
+const HOME: Tenure = Tenure::Home { epoch: 1, since: 1, unsure_before: None, barred_before: None };
+
+macro_rules! cases {
+    ($($name:ident($limits:ident = $value:expr) $body:block)*) => {
+        $(#[test]
+        fn $name() {
+            let $limits = $value;
+            $body
+        })*
+    };
+}
+
+fn limits(entries: usize, bytes: usize) -> Limits {
+    Limits { entries, bytes, ..Limits::default() }
+}
+
+fn at(seconds: u64) -> Now {
+    Now { tick: Duration::from_secs(seconds), wall: 1_000_000_000 + seconds * 1000 }
+}
+
+fn claim(number: u32, now: Now) -> Claim {
+    let id = TaskId::new("coop".into(), format!("k{number}").into(), 0);
+    Claim { id, digest: Digest(1), issued: None, started: now.wall, count: 1, ask: 1 }
+}
+
+fn executor(name: &str) -> Holder {
+    Holder { name: name.into(), incarnation: 1 }
+}
+
+/// Claims granted until the table is full.
+fn fill(table: &mut Table) -> u32 {
+    let granted =
+        |n: &u32| table.claim(HOME, &executor("a"), claim(*n, at(0)), at(0)) == Grant::Granted;
+    (0..10_000).take_while(granted).count() as u32
+}
+
+cases! {
+    claims_stop_short_of_the_cap_and_bars_use_the_rest(limits = limits(100, 1 << 20)) {
+        let mut table = Table::new(limits);
+        assert_eq!(fill(&mut table), 90);
+        let refused = table.claim(HOME, &executor("a"), claim(500, at(0)), at(0));
+        assert_eq!(refused, Grant::Full);
+        let bars = (200..300).filter(|n| table.bar(HOME, claim(*n, at(0)), at(0)).grant == Grant::Barred);
+        assert_eq!(bars.count(), 10);
+        // what is held is still told
+        let held = table.claim(HOME, &executor("b"), claim(0, at(0)), at(0));
+        assert_eq!(held, Grant::Held(executor("a")));
+    }
+
+    claims_stop_at_the_byte_cap(limits = limits(10_000, 4096)) {
+        let mut table = Table::new(limits);
+        let granted = fill(&mut table);
+        assert!(granted > 0 && granted < 100, "{granted}");
+        assert!(table.bytes() <= 4096);
+    }
+
+    claim_is_kept_for_the_retention_and_no_longer(limits = Limits::default()) {
+        let mut table = Table::new(limits);
+        let keep = limits.retention.as_secs();
+        assert_eq!(table.claim(HOME, &executor("a"), claim(1, at(0)), at(0)), Grant::Granted);
+        table.expire(at(keep - 1));
+        let late = claim(1, at(keep - 1));
+        assert_eq!(table.claim(HOME, &executor("b"), late, at(keep - 1)), Grant::Held(executor("a")));
+        table.expire(at(keep));
+        assert_eq!((table.len(), table.bytes()), (0, 0));
+    }
+
+    bar_is_kept_longer_than_any_call_lasts(limits = Limits::default()) {
+        let mut table = Table::new(limits);
+        assert_eq!(table.bar(HOME, claim(1, at(0)), at(0)).grant, Grant::Barred);
+        let old = claim(1, at(0));
+        for seconds in [1, 600, 800, 1000, 5000] {
+            table.expire(at(seconds));
+            let word = table.claim(HOME, &executor("a"), old.clone(), at(seconds));
+            assert_eq!(word, Grant::Barred, "after {seconds} s");
+        }
+        assert_eq!(table.claim(HOME, &executor("a"), claim(1, at(5000)), at(5000)), Grant::Granted);
+    }
+
+    claim_of_an_ended_tenure_counts_no_more(limits = Limits::default()) {
+        let mut table = Table::new(limits);
+        assert_eq!(table.claim(HOME, &executor("a"), claim(1, at(0)), at(0)), Grant::Granted);
+        table.drop_moved(|_| Some(2));
+        assert_eq!(table.bytes(), 0);
+        let later = Tenure::Home { epoch: 3, since: 3, unsure_before: None, barred_before: None };
+        assert_eq!(table.claim(later, &executor("b"), claim(1, at(0)), at(0)), Grant::Granted);
+    }
+
+    records_fill_up_with_answers_and_are_not_dropped(limits = limits(100, 4096)) {
+        let mut records = Records::new(executor("a"), limits);
+        let answer = Answer::done(vec![b'x'; 1000].into(), Duration::ZERO, "a".into());
+        let mut kept = 0;
+        while !records.is_full() {
+            let asked = records.ask(claim(kept, at(0)));
+            assert!(records.granted(&asked));
+            records.start(&asked.id);
+            records.end(&asked.id, answer.clone(), at(0));
+            kept += 1;
+        }
+        assert!(kept < 5, "{kept} answers in 4096 bytes");
+        records.expire(at(limits.retention.as_secs() - 1));
+        let first = claim(0, at(0));
+        assert_eq!(records.see(&first.id, first.digest), Seen::Over(&answer));
+        records.expire(at(limits.retention.as_secs()));
+        assert_eq!((records.len(), records.bytes(), records.is_full()), (0, 0, false));
+    }
+
+    release_is_not_heard_where_nobody_is_home(limits = Limits::default()) {
+        let mut table = Table::new(limits);
+        let away = Tenure::NotHome { epoch: 4 };
+        let it = claim(1, at(0));
+        assert!(!table.release(away, &executor("a"), &it, Release::Bar, at(0)));
+        assert!(table.release(HOME, &executor("a"), &it, Release::Bar, at(0)));
+        assert_eq!(table.look(HOME, &it).grant, Grant::Barred);
+    }
+}
