--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -21,7 +21,7 @@
 use crate::{
     Error, Result, cli,
     counts::{Counts, Keeper},
-    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher},
+    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher, watch_silence},
     http,
     metrics::Metrics,
     rpc::EntryRpc,
@@ -90,6 +90,7 @@
     let keeper = Rc::new(Keeper::new(platform, shared.counts.clone(), name, incarnation));
     let period = Duration::from_millis(shared.settings.counts_ms);
     actix::spawn(keep_counts(keeper.clone(), period));
+    actix::spawn(watch_silence(shared.agents.clone()));
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod registrar;
 mod rosters;
+mod silence;
 mod watcher;
 
 pub use agents::{Agents, Seen};
@@ -14,4 +15,5 @@
 pub use peers::Peers;
 pub use registrar::Registrar;
 pub use rosters::Rosters;
+pub use silence::watch_silence;
 pub use watcher::Watcher;
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -2,14 +2,17 @@
 
 use actix_web::{
     HttpRequest, HttpResponse,
-    web::{Data, Json, Path},
+    web::{Bytes, Data, Path},
 };
 use base::Name;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 use wire::{AgentInfo, Load, dial, read_load};
 
-use super::error::{Error, Result};
+use super::{
+    error::{Error, Result},
+    submit::parse,
+};
 use crate::{app::Shared, fleet::Seen};
 
 const TOKEN_HEADER: &str = "egret-token";
@@ -64,7 +67,7 @@
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct DrainBody {
+struct DrainBody {
     on: bool,
 }
 
@@ -99,9 +102,10 @@
     shared: Data<Shared>,
     http: HttpRequest,
     agent: Path<String>,
-    order: Json<DrainBody>,
+    body: Bytes,
 ) -> Result<HttpResponse> {
     admit(&shared, &http)?;
+    let order: DrainBody = parse(&body)?;
     let seen = shared.agents.all().into_iter().find(|s| *s.info.name == **agent);
     let Some(seen) = seen else { return Err(Error::UnknownAgent(agent.into_inner())) };
     let ordered = timeout(DRAIN_LIMIT, tell(&shared, &seen.info, order.on)).await;
--- a/crates/entry/src/http/refusal.rs
+++ b/crates/entry/src/http/refusal.rs
@@ -1,5 +1,5 @@
 use actix_web::{
-    Error as WebError, ResponseError,
+    Error as WebError, HttpResponse, ResponseError,
     body::{EitherBody, MessageBody},
     dev::{ServiceRequest, ServiceResponse},
     http::StatusCode,
@@ -20,7 +20,7 @@
     let res = next.call(req).await?;
     let code = res.response().extensions().get::<Code>().map(|code| code.0);
     let plain = code.is_none() && res.status().is_client_error();
-    let refusal = plain.then(|| from_status(res.status(), asked));
+    let refusal = plain.then(|| from_response(res.response(), asked));
     let code = refusal.as_ref().map(Error::code).or(code);
     if let (Some(code), Some(shared)) = (code, shared) {
         shared.metrics.refused(code);
@@ -31,11 +31,11 @@
     }
 }
 
-fn from_status(status: StatusCode, asked: String) -> Error {
-    match status {
+fn from_response<B>(res: &HttpResponse<B>, asked: String) -> Error {
+    match res.status() {
         StatusCode::NOT_FOUND => Error::UnknownPath(asked),
         StatusCode::METHOD_NOT_ALLOWED => Error::WrongMethod(asked),
         StatusCode::PAYLOAD_TOO_LARGE => Error::TooLarge,
-        status => Error::Malformed(status.to_string()),
+        status => Error::Malformed(res.error().map_or(status.to_string(), |e| e.to_string())),
     }
 }
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -2,7 +2,7 @@
     App, HttpServer,
     dev::ServerHandle,
     middleware::from_fn,
-    web::{Data, PayloadConfig, get, post},
+    web::{Data, PayloadConfig, get, post, resource},
 };
 
 use super::{admin, health, job, key, refusal::refusals, request};
@@ -22,16 +22,16 @@
             .app_data(PayloadConfig::new(shared.settings.body_bytes))
             .app_data(Data::new(shared.clone()))
             .app_data(Data::new(dispatcher))
-            .route("/v1/{service}/request", post().to(request::submit))
-            .route("/v1/{service}/job", post().to(job::submit))
-            .route("/v1/{service}/status", get().to(key::status))
-            .route("/v1/{service}/cancel", post().to(key::cancel))
-            .route("/admin/entry", get().to(admin::entry))
-            .route("/admin/agents", get().to(admin::agents))
-            .route("/admin/agents/{agent}/drain", post().to(admin::drain))
-            .route("/healthz", get().to(health::healthz))
-            .route("/readyz", get().to(health::readyz))
-            .route("/metrics", get().to(health::metrics))
+            .service(resource("/v1/{service}/request").route(post().to(request::submit)))
+            .service(resource("/v1/{service}/job").route(post().to(job::submit)))
+            .service(resource("/v1/{service}/status").route(get().to(key::status)))
+            .service(resource("/v1/{service}/cancel").route(post().to(key::cancel)))
+            .service(resource("/admin/entry").route(get().to(admin::entry)))
+            .service(resource("/admin/agents").route(get().to(admin::agents)))
+            .service(resource("/admin/agents/{agent}/drain").route(post().to(admin::drain)))
+            .service(resource("/healthz").route(get().to(health::healthz)))
+            .service(resource("/readyz").route(get().to(health::readyz)))
+            .service(resource("/metrics").route(get().to(health::metrics)))
     });
     let server = server
         .workers(threads)
