--- a/crates/agent/src/run/message.rs
+++ b/crates/agent/src/run/message.rs
@@ -71,6 +71,16 @@
 pub enum Drain {
     On,
     Off,
+    /// the process stops; nothing takes that back
+    Stop,
+}
+
+/// What the fleet configuration lets the backend server take at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Message)]
+#[rtype(result = "()")]
+pub struct Limits {
+    pub slots: u32,
+    pub connections: u32,
 }
 
 /// Asks how busy the agent is.
--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -15,8 +15,8 @@
 use super::{
     backend::Backend,
     message::{
-        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Kept, Leave, Offer, Released,
-        Remembered, Response, Status, Word,
+        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Kept, Leave, Limits, Offer,
+        Released, Remembered, Response, Status, Word,
     },
     waiting::{Call, Waiting},
 };
@@ -555,7 +555,20 @@
     type Result = ();
 
     fn handle(&mut self, drain: Drain, _: &mut Context<Self>) {
-        self.drain = drain;
+        if self.drain != Drain::Stop {
+            self.drain = drain;
+        }
+    }
+}
+
+impl Handler<Limits> for Runner {
+    type Result = ();
+
+    fn handle(&mut self, limits: Limits, ctx: &mut Context<Self>) {
+        self.slots = limits.slots as usize;
+        self.queue.resize(self.slots);
+        self.backend = self.backend.resized(limits.connections);
+        self.fill(ctx);
     }
 }
 
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     Error, Result, cli,
+    counts::{Counts, Keeper},
     fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher},
     http,
     metrics::Metrics,
@@ -36,6 +37,7 @@
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
+    pub counts: Arc<Counts>,
     pub started: Instant,
     /// true from the start of a graceful shutdown
     pub stopping: Arc<AtomicBool>,
@@ -62,6 +64,7 @@
         rosters: Arc::default(),
         peers: Arc::default(),
         metrics: Arc::default(),
+        counts: Arc::default(),
         started: Instant::now(),
         stopping: Arc::default(),
         settings: Arc::new(settings),
@@ -79,9 +82,14 @@
     let rosters = shared.rosters.clone();
     actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
+    let incarnation = clock_micros();
     let registrar =
-        Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
+        Registrar::new(platform.clone(), shared.peers.clone(), &shared.settings, incarnation);
     actix::spawn(registrar.run());
+    let name = shared.settings.name.clone();
+    let keeper = Rc::new(Keeper::new(platform, shared.counts.clone(), name, incarnation));
+    let period = Duration::from_millis(shared.settings.counts_ms);
+    actix::spawn(keep_counts(keeper.clone(), period));
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
@@ -90,10 +98,15 @@
     shared.stopping.store(true, Ordering::Release);
     sleep(Duration::from_millis(shared.settings.unready_ms)).await;
     server.stop(true).await;
+    keeper.finish().await;
     Event::Stopped.log(format_args!("{}", shared.settings.name));
     Ok(())
 }
 
+async fn keep_counts(keeper: Rc<Keeper>, period: Duration) {
+    keeper.run(period).await;
+}
+
 async fn stop_signal() {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
