--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,7 +4,7 @@
     metrics::{family::Family, gauge::Gauge},
     registry::Registry,
 };
-use wire::Load;
+use wire::{Load, Traffic};
 
 use crate::run::Kept;
 
@@ -33,6 +33,7 @@
     kept: &Kept,
     version: u64,
 ) -> Result<String, std::fmt::Error> {
+    let traffic = Traffic::now();
     let figures = [
         ("egret_queued", "Tasks that wait", u64::from(load.queued)),
         ("egret_running", "Tasks that run", load.running.into()),
@@ -46,6 +47,9 @@
         ("egret_record_bytes", "Memory of records with answers", kept.record_bytes as u64),
         ("egret_configuration_version", "Fleet configuration in force", version),
         ("egret_invariants_broken", "Invariants broken since the start", base::broken_count()),
+        ("egret_link_received_bytes", "Bytes received over links", traffic.received),
+        ("egret_link_sent_bytes", "Bytes sent over links", traffic.sent),
+        ("egret_link_messages", "Messages sent over links", traffic.messages),
     ];
     let set = Set { agent: labels.name.to_string(), service: labels.service.to_string() };
     let mut registry = Registry::default();
