--- a/crates/entry/src/fleet/agents.rs
+++ b/crates/entry/src/fleet/agents.rs
@@ -22,6 +22,7 @@
 
 /// An agent and when it was last heard.
 #[derive(Clone, Debug)]
+#[allow(dead_code)]
 pub struct Seen {
     pub info: AgentInfo,
     pub at: Instant,
@@ -49,6 +50,7 @@
     }
 
     /// Notes the load that came with a reply.
+    #[allow(dead_code)]
     pub fn refresh(&self, agent: &str, load: Load) {
         if let Some(peer) = self.get(agent) {
             peer.reported(load);
@@ -65,6 +67,7 @@
         self.peers.read().unwrap_or_else(PoisonError::into_inner).get(agent).cloned()
     }
 
+    #[allow(dead_code)]
     pub fn all(&self) -> Vec<Seen> {
         let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
         peers.values().map(|p| p.seen()).collect()
--- a/crates/entry/src/fleet/peer.rs
+++ b/crates/entry/src/fleet/peer.rs
@@ -61,6 +61,7 @@
         self.state().info.load.ready
     }
 
+    #[allow(dead_code)]
     pub fn seen(&self) -> Seen {
         let state = self.state();
         Seen { info: state.info.clone(), at: state.greeted }
--- a/crates/pick/src/expected.rs
+++ b/crates/pick/src/expected.rs
@@ -16,11 +16,14 @@
     pub samples: usize,
     /// weight of the run time there, against a weight of 1 for the wait
     pub run_weight: f64,
+    /// chance that another entry takes a free slot first, 0 to 1
+    pub risk: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { samples: 12, run_weight: 0.25 }
+        let env = |n: &str, d: f64| std::env::var(n).ok().and_then(|v| v.parse().ok()).unwrap_or(d);
+        Self { samples: env("P_S", 12.0) as usize, run_weight: env("P_R", 0.25), risk: env("P_K", 0.0) }
     }
 }
 
@@ -39,10 +42,17 @@
     /// Cost of a candidate in seconds.
     fn cost(&self, view: &View) -> f64 {
         let run = view.mean.as_secs_f64() * self.settings.run_weight;
-        let cost = view.expected_wait().as_secs_f64() + run + view.distance.as_secs_f64();
+        let wait = view.expected_wait().max(self.collision(view));
+        let cost = wait.as_secs_f64() + run + view.distance.as_secs_f64();
         cost / (1.0 - view.failing.min(MAX_FAILING))
     }
 
+    /// Wait to expect from other entries that take the last free slots.
+    fn collision(&self, view: &View) -> Duration {
+        let spare = view.free.saturating_sub(view.unreported).min(32);
+        (view.mean / view.slots.max(1)).mul_f64(self.settings.risk.powi(spare as i32))
+    }
+
     /// The cheapest of some candidates that are open.
     fn cheapest(
         &mut self,
