--- a/crates/entry/src/http/submit.rs
+++ b/crates/entry/src/http/submit.rs
@@ -1,13 +1,13 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpRequest, web::Bytes};
-use base::{Digest, MAX_KEY_BYTES, Name, Task, TaskId};
+use base::{Digest, MAX_KEY_BYTES, Name, Outcome, Task, TaskId};
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::value::RawValue;
 use uuid::Uuid;
 
 use super::error::{Error, Result, bad_field};
-use crate::app::Shared;
+use crate::{app::Shared, metrics::Kind};
 
 const MAX_DEADLINE: Duration = Duration::from_secs(600);
 const KEY_HEADER: &str = "idempotency-key";
@@ -19,6 +19,7 @@
     pub key: Name,
     pub keyed: bool,
     pub issued: Option<u64>,
+    pub received: Instant,
     pub deadline: Instant,
     pub repeatable: bool,
 }
@@ -55,6 +56,7 @@
         let given = given_key(http, asked.key)?;
         let default_ms = snapshot.fleet.effective(service).deadline_ms;
         let deadline = check_deadline(asked.deadline_ms.unwrap_or(default_ms))?;
+        let received = Instant::now();
         let keyed = given.is_some();
         let key = given.unwrap_or_else(|| Uuid::now_v7().to_string().into());
         let issued = asked.issued_ms.or_else(|| issue_time(&key));
@@ -64,15 +66,22 @@
             key,
             keyed,
             issued,
-            deadline: Instant::now() + deadline,
+            received,
+            deadline: received + deadline,
             repeatable: asked.repeatable,
         })
     }
 
     /// The task at a place of the submission.
-    pub fn task(&self, index: u32, task: TaskBody) -> Task {
+    ///
+    /// # Errors
+    /// When its operation can't go into a header.
+    pub fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
+        if !is_plain(&task.operation) {
+            return bad_field("operation", "must be 1 to 128 printable ASCII characters");
+        }
         let body = Bytes::from(Box::<str>::from(task.body).into_string());
-        Task {
+        Ok(Task {
             id: TaskId::new(self.team.clone(), self.key.clone(), index),
             service: self.service.clone(),
             digest: Digest::new(&task.operation, &body),
@@ -84,7 +93,14 @@
             declared: task.size_ms.map(Duration::from_millis),
             offer: 0,
             body,
-        }
+        })
+    }
+}
+
+impl Shared {
+    /// Counts the final answer to a submission.
+    pub fn answered(&self, terms: &Terms, kind: Kind, outcome: Outcome) {
+        self.metrics.answered(&terms.service, kind, outcome, terms.received.elapsed());
     }
 }
 
@@ -107,7 +123,9 @@
     let key = header.or(in_body);
     match &key {
         Some(key) if key.is_empty() => bad_field("key", "is empty: leave it out or fill it"),
-        Some(key) if key.len() > MAX_KEY_BYTES => bad_field("key", "is longer than 128 bytes"),
+        Some(key) if !is_plain(key) => {
+            bad_field("key", "must be 1 to 128 printable ASCII characters")
+        }
         _ => Ok(key),
     }
 }
@@ -123,6 +141,11 @@
     Ok(deadline)
 }
 
+/// Whether a text can be a header's value as it is.
+fn is_plain(text: &str) -> bool {
+    (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| (b' '..=b'~').contains(&b))
+}
+
 /// Unix milliseconds at which a UUIDv7 key was made.
 fn issue_time(key: &str) -> Option<u64> {
     let uuid = Uuid::parse_str(key).ok()?;
