--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,8 +5,10 @@
 mod app;
 mod cli;
 mod greet;
+mod home;
 mod http;
 mod metrics;
+mod peers;
 mod rpc;
 mod run;
 
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -3,20 +3,27 @@
     time::{Duration, Instant},
 };
 
-use base::{Answer, Outcome, Task};
-use conf::EntrySettings;
+use base::{Answer, Outcome, Task, TaskId};
+use claim::{Claim, Found, Grant};
+use roster::{Homes, Roster};
 use tokio::time::{sleep, timeout_at};
-use wire::{Reply, read_load, read_reply, write_task};
+use wire::{Link, Links, Reply, read_load, read_reply, write_task};
 
 use super::{
     chooser::{Chooser, Chosen},
-    links::Links,
+    home::Query,
+    keyed::Keyed,
+};
+use crate::{
+    app::Shared,
+    fleet::{Agents, Peer, Rosters},
 };
-use crate::fleet::Agents;
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 const MAX_TRIES: u32 = 3;
+/// How often an agent that owes a reply is looked at for signs of life.
+const WATCH: Duration = Duration::from_millis(100);
 
 /// What can go wrong with a task besides its four outcomes.
 #[derive(Debug, thiserror::Error)]
@@ -29,12 +36,16 @@
 
 /// Takes tasks to their answers, on one thread.
 pub struct Dispatcher {
+    pub(super) agents: Arc<Agents>,
+    pub(super) rosters: Arc<Rosters>,
+    pub(super) links: Links,
+    /// a call that comes back after this began after a bar
+    pub(super) bar_retry: Duration,
     chooser: Chooser,
-    links: Links,
 }
 
 /// How one offer ended.
-enum Tried {
+pub(super) enum Tried {
     Replied(Reply),
     /// nothing was sent
     Unsent,
@@ -43,10 +54,15 @@
 }
 
 impl Dispatcher {
-    pub fn new(agents: Arc<Agents>, settings: &EntrySettings) -> Self {
+    pub fn new(shared: &Shared) -> Self {
+        let settings = &shared.settings;
+        let agents = shared.agents.clone();
         Self {
-            chooser: Chooser::new(agents, settings.centre.clone(), settings.pick),
+            chooser: Chooser::new(agents.clone(), settings.centre.clone(), settings.pick),
+            agents,
+            rosters: shared.rosters.clone(),
             links: Links::new(settings.token.clone()),
+            bar_retry: Duration::from_millis(2 * settings.skew_ms),
         }
     }
 
@@ -56,14 +72,37 @@
     /// `Conflict` when its key was used with another body.
     pub async fn run(&self, task: Task) -> Result<Answer> {
         let deadline = task.deadline.into();
-        match timeout_at(deadline, self.try_agents(task)).await {
+        let run = async {
+            if task.keyed {
+                return Keyed::new(self, task).run().await;
+            }
+            self.try_agents(task).await
+        };
+        match timeout_at(deadline, run).await {
             Ok(answer) => answer,
             Err(_) => Ok(Answer::unknown("no answer by the deadline")),
         }
     }
 
+    /// Refuses a job whose key was used with another body, before any of its
+    /// tasks is offered.
+    ///
+    /// # Errors
+    /// `Conflict` when the key was used with another body.
+    pub async fn check_key(&self, first: &Task) -> Result<()> {
+        if !first.keyed || first.count < 2 {
+            return Ok(());
+        }
+        match self.ask_home(&first.service, &claim_of(first), Query::Look).await {
+            Some(Found { grant: Grant::Conflict, .. }) => Err(Error::Conflict),
+            _ => Ok(()),
+        }
+    }
+
+    /// A task with no key: one offer at a time, the next one only when the
+    /// last certainly did not start.
     async fn try_agents(&self, task: Task) -> Result<Answer> {
-        let mut last = Answer::not_run("no agent of the service takes new work", RETRY_AFTER);
+        let mut last = no_agent();
         for _ in 0..MAX_TRIES {
             let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &|_| false)
             else {
@@ -71,13 +110,13 @@
             };
             match self.offer(&chosen, &task).await {
                 Tried::Replied(Reply::Conflict) => return Err(Error::Conflict),
-                Tried::Replied(Reply::Held(holder)) => return Ok(held_elsewhere(&holder)),
-                Tried::Replied(Reply::Answer(answer)) => {
-                    if answer.outcome != Outcome::NotRun {
-                        return Ok(answer);
-                    }
-                    last = answer;
+                Tried::Replied(Reply::Held(holder)) => {
+                    return Ok(Answer::unknown(&format!("agent {} holds the task", holder.name)));
+                }
+                Tried::Replied(Reply::Answer(answer)) if answer.outcome != Outcome::NotRun => {
+                    return Ok(answer);
                 }
+                Tried::Replied(Reply::Answer(answer) | Reply::Declined(answer)) => last = answer,
                 Tried::Unsent => {}
                 Tried::Lost(why) => return Ok(Answer::unknown(&why)),
             }
@@ -86,13 +125,37 @@
         Ok(last)
     }
 
-    async fn offer(&self, chosen: &Chosen, task: &Task) -> Tried {
+    /// Chooses an agent for a keyed task. Its home is left out, so that no
+    /// loss of one VM takes both the claim and the record of the start; the
+    /// home's rack is left out where there is a choice.
+    pub(super) fn choose_beside_home(&self, task: &Task) -> Option<Chosen> {
+        let roster = self.rosters.get(&task.service);
+        let home = roster.home(&task.id).filter(|_| roster.members.len() > 1);
+        let choose = |skip: &dyn Fn(&Peer) -> bool| {
+            self.chooser.choose(&task.service, &task.operation, skip)
+        };
+        let Some(home) = home else { return choose(&|_| false) };
+        let rack = rack_names(&roster, &home.rack);
+        let in_rack = |peer: &Peer| peer.name == home.name || rack.contains(&&*peer.name);
+        choose(&in_rack).or_else(|| choose(&|peer: &Peer| peer.name == home.name))
+    }
+
+    /// Offers a task and waits for the reply, for as long as the agent is
+    /// heard.
+    pub(super) async fn offer(&self, chosen: &Chosen, task: &Task) -> Tried {
         let agent = &chosen.peer;
         let Ok(link) = self.links.get(agent.address).await else { return Tried::Unsent };
         let Ok(client) = link.agent() else { return Tried::Unsent };
         let mut req = client.run_request();
         write_task(req.get().init_task(), task, Instant::now());
-        match read(chosen, req.send().promise.await) {
+        let sent = req.send().promise;
+        let reply = tokio::select! {
+            reply = sent => read(chosen, reply),
+            () = self.silent(agent, &link), if task.keyed => {
+                Err(wire::Error::Lost("not heard any more".to_owned()))
+            }
+        };
+        match reply {
             Ok(reply) => {
                 self.learn(task, &reply);
                 Tried::Replied(reply)
@@ -101,13 +164,47 @@
         }
     }
 
-    fn learn(&self, task: &Task, reply: &Reply) {
+    pub(super) fn learn(&self, task: &Task, reply: &Reply) {
         if let Reply::Answer(answer) = reply
             && answer.outcome == Outcome::Done
         {
             self.chooser.learn(&task.service, &task.operation, answer.ran);
         }
     }
+
+    /// The home of a task, as far as this entry knows.
+    pub(super) fn home(&self, service: &str, id: &TaskId) -> Option<base::Member> {
+        self.rosters.get(service).home(id)
+    }
+
+    /// Ends when an agent is no longer heard.
+    async fn silent(&self, agent: &Peer, link: &Link) {
+        while !link.is_down() && !agent.is_silent(self.agents.silence()) {
+            sleep(WATCH).await;
+        }
+    }
+}
+
+/// What the home of a task is asked about it.
+pub(super) fn claim_of(task: &Task) -> Claim {
+    Claim {
+        id: task.id.clone(),
+        digest: task.digest,
+        issued: task.issued,
+        started: task.started,
+        count: task.count,
+        ask: 0,
+    }
+}
+
+/// What a caller is told when no agent takes new work.
+pub(super) fn no_agent() -> Answer {
+    Answer::not_run("no agent of the service takes new work", RETRY_AFTER)
+}
+
+fn rack_names<'a>(roster: &'a Roster, rack: &str) -> Vec<&'a str> {
+    let in_rack = roster.members.iter().filter(|m| !rack.is_empty() && *m.rack == *rack);
+    in_rack.map(|m| &*m.name).collect()
 }
 
 type Response = capnp::capability::Response<wire::egret_capnp::agent::run_results::Owned>;
@@ -118,7 +215,3 @@
     chosen.reported(read_load(reply.get_load()?));
     read_reply(reply)
 }
-
-fn held_elsewhere(holder: &str) -> Answer {
-    Answer::unknown(&format!("agent {holder} holds the task"))
-}
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod health;
 mod job;
+mod key;
 mod refusal;
 mod request;
 mod server;
--- a/crates/pick/src/expected.rs
+++ b/crates/pick/src/expected.rs
@@ -22,8 +22,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        let env = |n: &str, d: f64| std::env::var(n).ok().and_then(|v| v.parse().ok()).unwrap_or(d);
-        Self { samples: env("P_S", 12.0) as usize, run_weight: env("P_R", 0.25), risk: env("P_K", 0.0) }
+        Self { samples: 12, run_weight: 0.02, risk: 0.6 }
     }
 }
 
