--- /dev/null
+++ b/crates/proof/tests/operate.rs
@@ -0,0 +1,156 @@
+//! What operators do, through `egretctl` alone.
+
+use std::{fs, time::Duration};
+
+use nix::sys::signal::Signal;
+use proof::{Deployment, Ran, Tool};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+const LOOK: Duration = Duration::from_millis(50);
+const LOOKS: usize = 100;
+
+macro_rules! on_loopback {
+    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
+        $(#[actix_web::test]
+        async fn $name() {
+            let $deployment = Deployment::start($entries, $agents).await;
+            $body
+        })*
+    };
+}
+
+fn check_code(it: &Deployment, args: &[&str], code: i32) -> Ran {
+    let ran = it.ctl(args);
+    assert_eq!(ran.code, code, "{args:?}: {}{}", ran.out, ran.err);
+    ran
+}
+
+fn query(it: &Deployment, args: &[&str]) -> Value {
+    let ran = check_code(it, &[args, &["--json"]].concat(), 0);
+    serde_json::from_str(&ran.out).expect("query prints JSON")
+}
+
+/// The most tasks that ran at once on a backend server.
+async fn most(it: &Deployment, backend: usize) -> u64 {
+    let url = format!("http://127.0.0.1:{}/admin/stats", it.backend_ports[backend]);
+    let mut res = awc::Client::default().get(url).send().await.expect("it answers");
+    let stats: Value = res.json().await.expect("it answers JSON");
+    stats["most"].as_u64().expect("it counts")
+}
+
+/// Waits until a query shows a value at a place.
+async fn check_shown(it: &Deployment, args: &[&str], place: &str, expected: &Value) {
+    for _ in 0..LOOKS {
+        if query(it, args).pointer(place) == Some(expected) {
+            return;
+        }
+        sleep(LOOK).await;
+    }
+    panic!("{args:?} never showed {expected} at {place}: {}", query(it, args));
+}
+
+fn write_file(it: &Deployment, name: &str, body: &Value) -> String {
+    let path = std::env::temp_dir().join(format!("egret-{}-{name}", it.platform_port));
+    fs::write(&path, body.to_string()).expect("file is written");
+    path.display().to_string()
+}
+
+on_loopback! {
+    drained_agent_takes_no_new_work(it, 2, 3) {
+        check_code(&it, &["drain", "agent-0"], 0);
+        let starts = it.starts().await.len();
+        // both entries, at once: the other one may not have heard yet
+        for i in 0..20 {
+            let body = json!({"team": "coop", "key": format!("k{i}"), "body": {"run_ms": 1}});
+            let sent = it.send(i % 2, "request", &body).await;
+            assert_eq!(sent.outcome(), "done", "{:?}", sent.body);
+            assert_ne!(sent.body["agent"], "agent-0");
+        }
+        assert_eq!(it.starts().await.len(), starts + 20);
+        check_shown(&it, &["agents"], "/0/ready", &json!(false)).await;
+        check_code(&it, &["undrain", "agent-0"], 0);
+        check_shown(&it, &["agents"], "/0/ready", &json!(true)).await;
+        check_code(&it, &["drain", "nobody"], 1);
+    }
+
+    stopping_agent_stays_drained(it, 1, 1) {
+        let body = json!({"team": "coop", "key": "long", "body": {"run_ms": 2000}});
+        let file = write_file(&it, "stopping.json", &body);
+        let submit = it.start_ctl(0, &["submit", "ledger", &file]);
+        check_shown(&it, &["agents"], "/0/running", &json!(1)).await;
+        it.agents[0].signal(Signal::SIGTERM);
+        check_shown(&it, &["agents"], "/0/ready", &json!(false)).await;
+        let ran = check_code(&it, &["undrain", "agent-0"], 0);
+        assert!(ran.out.contains("takes no new work"), "{}", ran.out);
+        assert_eq!(submit.finish().code, 0);
+        fs::remove_file(file).expect("file was there");
+    }
+
+    fewer_slots_are_kept_to(it, 1, 1) {
+        let args = ["--author=ana", "exception-add", "ledger", "slots=2", "--reason", "old VM"];
+        check_code(&it, &args, 0);
+        check_shown(&it, &["agents"], "/0/slots", &json!(2)).await;
+        let tasks: Vec<_> = (0..20).map(|_| json!({"body": {"run_ms": 20}})).collect();
+        let sent = it.send(0, "job", &json!({"team": "coop", "key": "j", "tasks": tasks})).await;
+        assert_eq!(sent.outcome(), "done", "{:?}", sent.body);
+        assert_eq!(most(&it, 0).await, 2);
+        check_code(&it, &["exception-remove", "ledger", "slots"], 0);
+        check_shown(&it, &["agents"], "/0/slots", &json!(8)).await;
+    }
+
+    work_is_submitted_asked_for_and_cancelled(it, 1, 1) {
+        let request = json!({"team": "coop", "key": "r1", "body": {"run_ms": 1}});
+        let file = write_file(&it, "request.json", &request);
+        check_code(&it, &["submit", "ledger", &file], 0);
+        let job = json!({"team": "coop", "key": "j1", "tasks": [{"body": {"fail": true}}]});
+        let job = write_file(&it, "job.json", &job);
+        check_code(&it, &["submit-job", "ledger", &job], 3);
+        let key = ["--team=coop", "--key=r1"];
+        let status = query(&it, &[&["status", "ledger"], &key[..]].concat());
+        assert_eq!(status["state"], "done");
+        check_code(&it, &[&["cancel", "ledger"], &key[..]].concat(), 0);
+        for path in [file, job] {
+            fs::remove_file(path).expect("file was there");
+        }
+    }
+
+    long_job_reports_progress(it, 1, 1) {
+        let job = json!({"team": "coop", "key": "j1", "tasks": [{"body": {"run_ms": 2500}}]});
+        let file = write_file(&it, "long.json", &job);
+        let ran = check_code(&it, &["submit-job", "ledger", &file], 0);
+        fs::remove_file(&file).expect("file was there");
+        assert!(ran.err.contains("no answer yet"), "{}", ran.err);
+    }
+
+    teams_and_services_come_and_go(it, 1, 1) {
+        check_code(&it, &["service-create", "orders", "--team", "desk,weight=3,quota=50"], 0);
+        check_code(&it, &["service-create", "orders"], 1);
+        check_code(&it, &["service-change", "orders", "--team", "mill", "--drop-team", "desk"], 0);
+        let services = query(&it, &["services"]);
+        let orders = &services["services"][1];
+        assert_eq!(orders["teams"], json!([{"team": "mill", "weight": 1}]));
+        check_code(&it, &["service-remove", "orders"], 0);
+        check_code(&it, &["service-remove", "orders"], 1);
+        let shown = query(&it, &["defaults", "ledger"]);
+        assert_eq!(shown["values"][0]["from"], "program");
+    }
+
+    exit_codes_are_those_of_the_page(it, 1, 1) {
+        check_code(&it, &["--help"], 0);
+        check_code(&it, &["burn", "--help"], 0);
+        check_code(&it, &["no-such-command"], 2);
+        check_code(&it, &["service-create", "orders", "--team", "desk,wait=1"], 2);
+        check_code(&it, &["submit", "ledger", "/no/such/file"], 1);
+        check_code(&it, &["--expect=9", "default-set", "deadline_ms=1"], 4);
+        let entry = format!("--entry=http://127.0.0.1:{}", it.entry_ports[0]);
+        let cases = [
+            (vec![entry, "--token=guess".to_owned(), "agents".to_owned()], 1),
+            (vec!["--platform=http://127.0.0.1:1".to_owned(), "services".to_owned()], 5),
+            (vec!["--entry=http://127.0.0.1:1".to_owned(), "agents".to_owned()], 5),
+        ];
+        for (args, code) in cases {
+            assert_eq!(Tool::start(&args).finish().code, code, "{args:?}");
+        }
+    }
+}
