--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -1,4 +1,6 @@
-use standin::load::{Class, Ended, Report, Sample, Swing, Workload, plan};
+use std::process::Command;
+
+use standin::load::{Burst, Class, Ended, Report, Sample, Swing, Team, Workload, plan};
 
 macro_rules! case {
     ($name:ident, $check:expr) => {
@@ -17,6 +19,12 @@
 case!(good_means_done_in_time, check_good(Ended::Done, 900.0, 1));
 case!(done_too_late_is_not_good, check_good(Ended::Done, 1100.0, 0));
 case!(refusal_is_not_good, check_good(Ended::NotRun, 5.0, 0));
+case!(cut_answer_is_not_good, check_good(Ended::Cut, 5.0, 0));
+case!(private_address_is_refused, check_refused("10.0.0.1:7100"));
+case!(public_address_is_refused, check_refused("192.0.2.1:7100"));
+case!(wildcard_address_is_refused, check_refused("0.0.0.0:7100"));
+case!(bursts_come_on_top, check_burst(500));
+case!(boost_keeps_the_others, check_boost(10.0));
 
 fn check_plans(a: u64, b: u64, same: bool) {
     let of = |seed| plan(&Workload { seed, ..Workload::default() });
@@ -49,6 +57,33 @@
     assert_eq!(report.all.late, late);
 }
 
+/// No packet is sent: the tool ends before it has a plan.
+fn check_refused(entry: &str) {
+    let workload = concat!(env!("CARGO_MANIFEST_DIR"), "/../../measures/idle.json");
+    let tool = Command::new(env!("CARGO_BIN_EXE_standin-load"))
+        .args(["run", "--entry", entry, workload])
+        .output()
+        .unwrap();
+    assert!(!tool.status.success());
+    assert!(String::from_utf8_lossy(&tool.stderr).contains("not on loopback"));
+}
+
+fn check_burst(count: usize) {
+    let burst = Burst { class: "balance".to_owned(), at_s: 4.0, over_s: 1.0, count };
+    let plain = Workload::default();
+    let with = Workload { bursts: vec![burst], ..plain.clone() };
+    assert_eq!(plan(&with).len(), plan(&plain).len() + count);
+}
+
+fn check_boost(factor: f64) {
+    let team = |name: &str| Team { name: name.to_owned(), share: 1.0 };
+    let plain = Workload { teams: vec![team("coop"), team("mill")], ..Workload::default() };
+    let mut boosted = plain.clone();
+    boosted.boost_team("coop", factor);
+    let rate = plain.base_rate() / 2.0;
+    assert!((boosted.base_rate() / (rate + rate * factor) - 1.0).abs() < 1e-9);
+}
+
 fn report(sample: Sample) -> Report {
     let workload = Workload { classes: vec![Class::default()], ..Workload::default() };
     Report::new("test".to_owned(), workload, &[sample])
