A kept answer takes its own size

Cause: the HTTP client hands out slices of its 8 KiB read buffer, and a kept answer of a few bytes kept the whole of it. Ruled out: claims and records themselves (agents that mostly act as home grew little) and the entries (flat). Change: the answer is copied to its own size before it is kept.

--- a/crates/agent/src/run/backend.rs
+++ b/crates/agent/src/run/backend.rs
@@ -108,5 +108,6 @@
     res: Response<Incoming>,
 ) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect().await?;
-    Ok(body.to_bytes())
+    // a kept answer must not keep the whole buffer that it was read into
+    Ok(Bytes::copy_from_slice(&body.to_bytes()))
 }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,5 +1,5 @@
 use std::{
-    env,
+    env, fs,
     net::TcpListener,
     path::PathBuf,
     process::{self, Child, Command, ExitStatus, Stdio},
@@ -41,6 +41,15 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("process is there");
     }
 
+    /// Memory it has in use, bytes.
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("process is there");
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("it tells its memory");
+        let number = line.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok());
+        number.expect("memory is a number") * 1024
+    }
+
     /// Ends it at once, as a lost VM would.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
