Admission as pure modules: deadline, weighted shares with lending, retry budget; failing agents cost more

Cause of the change in pick: with the small run weight a share of failed runs multiplied next to nothing, so fast failures looked like speed; the test fast_failures_are_no_speed failed on it and passes with a cost of its own.

--- /dev/null
+++ b/crates/admit/src/admission.rs
@@ -0,0 +1,121 @@
+use std::time::{Duration, Instant};
+
+use base::Name;
+
+use crate::{Entitled, Shares};
+
+/// Settings of admission.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// share of taken slots up to which teams may go over their share, 0 to 1
+    pub lend_below: f64,
+    /// share of the time left that wait and run may fill, 0 to 1
+    pub deadline_share: f64,
+    /// shortest time to come back
+    pub min_retry: Duration,
+    /// longest time to come back
+    pub max_retry: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            lend_below: 0.75,
+            deadline_share: 0.9,
+            min_retry: Duration::from_millis(100),
+            max_retry: Duration::from_secs(30),
+        }
+    }
+}
+
+/// How busy the service is for a class of work.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    /// expected wait at the best agent
+    pub wait: Duration,
+    /// expected run time there
+    pub run: Duration,
+    /// share of all slots that are taken, 0 to 1
+    pub busy: f64,
+    /// slots of all agents
+    pub slots: u32,
+}
+
+/// What a submission asks for.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    pub team: &'a Name,
+    pub entitled: Entitled,
+    pub tasks: usize,
+    pub left: Duration,
+}
+
+/// Why a submission is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// can't end by its deadline
+    Backlog,
+    /// its team has had its share of a busy service
+    Quota,
+}
+
+/// A refusal, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub why: Why,
+    pub retry_after: Duration,
+}
+
+/// Admits submissions to one service.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    settings: Settings,
+    shares: Shares,
+}
+
+impl Admission {
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, shares: Shares::default() }
+    }
+
+    /// Admits a submission whole, or refuses it whole. `spread` is a random
+    /// number from 0 to 1 that keeps refused callers from coming back at once.
+    ///
+    /// # Errors
+    /// When it can't end by its deadline, or its team has had its share.
+    pub fn admit(
+        &mut self,
+        asked: &Asked<'_>,
+        pressure: Pressure,
+        spread: f64,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        let needed = pressure.wait + pressure.own_work(asked.tasks);
+        let allowed = asked.left.mul_f64(self.settings.deadline_share);
+        if needed > allowed {
+            let over = needed - allowed;
+            return Err(self.refuse(Why::Backlog, over.max(pressure.wait), spread));
+        }
+        let ratio = self.shares.ratio(asked.team, asked.entitled, now);
+        if ratio > 1.0 && pressure.busy >= self.settings.lend_below {
+            return Err(self.refuse(Why::Quota, Shares::time_to_share(ratio), spread));
+        }
+        self.shares.add(asked.team, asked.entitled.weight, asked.tasks, now);
+        Ok(())
+    }
+
+    /// Comes back after the excess is worked off, spread over as long again.
+    fn refuse(&self, why: Why, after: Duration, spread: f64) -> Refusal {
+        let Settings { min_retry, max_retry, .. } = self.settings;
+        let after = after.clamp(min_retry, max_retry);
+        Refusal { why, retry_after: after + after.mul_f64(spread.clamp(0.0, 1.0)) }
+    }
+}
+
+impl Pressure {
+    /// Time that the tasks of a submission take, on all slots together.
+    fn own_work(&self, tasks: usize) -> Duration {
+        let rounds = tasks.div_ceil(self.slots.max(1) as usize);
+        self.run * rounds as u32
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,11 @@
-//! Admission at an entry: what is refused at once, and when to come back.
+//! Admission at an entry: whether a submission can end by its deadline, what
+//! each team may take of a busy service, when a refused caller comes back, and
+//! how many tries may follow the first ones.
+
+mod admission;
+mod budget;
+mod shares;
+
+pub use admission::{Admission, Asked, Pressure, Refusal, Settings, Why};
+pub use budget::{BudgetSettings, RetryBudget};
+pub use shares::{Entitled, Shares};
--- a/crates/pick/src/expected.rs
+++ b/crates/pick/src/expected.rs
@@ -4,8 +4,8 @@
 
 use crate::{Candidates, Policy, View, policy::any};
 
-/// Largest failing share that counts; beyond it an agent is ejected anyway.
-const MAX_FAILING: f64 = 0.9;
+/// Cost of an agent all of whose runs fail; it grows with the square of the share.
+const FAILING_COST: Duration = Duration::from_secs(1);
 /// Run time assumed of an agent that has reported none.
 const UNKNOWN_MEAN: Duration = Duration::from_millis(1);
 
@@ -43,7 +43,7 @@
         let run = view.mean.as_secs_f64() * self.settings.run_weight;
         let wait = view.expected_wait().max(self.collision(view));
         let cost = wait.as_secs_f64() + run + view.distance.as_secs_f64();
-        cost / (1.0 - view.failing.min(MAX_FAILING))
+        cost + FAILING_COST.as_secs_f64() * view.failing * view.failing
     }
 
     /// Wait to expect from other entries that take the last free slots.
