Roster protocol as a pure state machine: permits, changes, takeovers (untested first cut)

Homes gains me() and counts(): a member that was removed but lives has a new incarnation, and a grant is checked against the tenures since it was made.

--- a/crates/agent/src/peers/roster.rs
+++ b/crates/agent/src/peers/roster.rs
@@ -52,6 +52,14 @@
 }
 
 impl Homes for Peers {
+    fn me(&self) -> Option<Member> {
+        Some(self.me.clone())
+    }
+
+    fn counts(&self, _: &TaskId, _: &Member, _: u64) -> bool {
+        true
+    }
+
     fn home(&self, id: &TaskId) -> Option<Member> {
         self.known.borrow().home(id)
     }
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -45,6 +45,12 @@
     BackendSeen = 400 Info "backend server announced itself"
     BackendGone = 401 Warn "backend server stopped renewing"
     BackendLeft = 402 Info "backend server left"
+    RosterChanged = 520 Info "roster in force"
+    RosterStuck = 521 Error "too many members of a roster are lost at once"
+    RosterRefused = 522 Error "roster can't be read"
+    NewLife = 523 Warn "removed from the roster while alive; a new incarnation joins"
+    PermitLost = 524 Warn "no permit: heartbeats of a majority are not acknowledged"
+    PermitBack = 525 Info "permit held again"
 }
 
 impl Event {
--- a/crates/base/src/member.rs
+++ b/crates/base/src/member.rs
@@ -15,3 +15,10 @@
     pub centre: Name,
     pub rack: Name,
 }
+
+impl Member {
+    /// Whether both are the same life of the same agent.
+    pub fn same_life(&self, other: &Member) -> bool {
+        self.incarnation == other.incarnation && self.name == other.name
+    }
+}
--- a/crates/roster/src/document.rs
+++ b/crates/roster/src/document.rs
@@ -15,7 +15,9 @@
     pub members: Vec<Member>,
     /// every new home holds the records of its keys
     pub settled: bool,
-    /// members of the last settled roster, while this one is not settled
+    /// the settled roster that this one replaces
+    pub base_epoch: u64,
+    /// its members, while this one is not settled
     pub base: Vec<Member>,
     /// members of `base` that leave as planned and hand over first
     pub leaving: Vec<Member>,
@@ -25,7 +27,7 @@
     pub thinned_ms: Option<u64>,
     /// losses that an operator vouches for
     pub confirmed: Option<Confirmed>,
-    /// number of the write that made this document
+    /// counts the writes of the row
     pub change: u64,
 }
 
@@ -61,16 +63,38 @@
         find(&self.members, member)
     }
 
-    /// Members with the settled rights of one: they may be granted claims.
+    /// Members that may be granted claims: those of a settled roster.
     pub fn executors(&self) -> Vec<Member> {
         if self.settled {
             return self.members.clone();
         }
         self.members.iter().filter(|m| find(&self.base, m)).cloned().collect()
     }
+
+    /// Members that must hand over their records before this roster settles.
+    pub fn sources(&self) -> impl Iterator<Item = &Member> {
+        let stays = |m: &&Member| self.lists(m) || find(&self.leaving, m);
+        self.base.iter().filter(stays)
+    }
+
+    /// Members of `base` that are gone without a handover.
+    pub fn lost(&self) -> impl Iterator<Item = &Member> {
+        let gone = |m: &&Member| !self.lists(m) && !find(&self.leaving, m);
+        self.base.iter().filter(gone)
+    }
+
+    /// Whether this member becomes home of keys that another one held.
+    pub fn gains(&self, member: &Member) -> bool {
+        let named = |name: &Name| self.members.iter().any(|m| m.name == *name);
+        !find(&self.base, member) || self.base.iter().any(|m| !named(&m.name))
+    }
 }
 
 impl Homes for Roster {
+    fn me(&self) -> Option<Member> {
+        None
+    }
+
     fn home(&self, id: &TaskId) -> Option<Member> {
         home(&self.members, id).cloned()
     }
@@ -80,6 +104,10 @@
         Tenure::NotHome { epoch: self.epoch }
     }
 
+    fn counts(&self, _: &TaskId, _: &Member, _: u64) -> bool {
+        false
+    }
+
     fn epoch(&self) -> u64 {
         self.epoch
     }
@@ -91,5 +119,5 @@
 
 /// Whether a list has this life of this member.
 pub(crate) fn find(list: &[Member], member: &Member) -> bool {
-    list.iter().any(|m| m.name == member.name && m.incarnation == member.incarnation)
+    list.iter().any(|m| m.same_life(member))
 }
--- /dev/null
+++ b/crates/roster/src/effect.rs
@@ -0,0 +1,32 @@
+use std::time::Instant;
+
+use base::Member;
+
+use crate::{Beat, Roster};
+
+/// A moment on both clocks of this process.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub at: Instant,
+    /// unix milliseconds
+    pub wall_ms: u64,
+}
+
+/// What a member asks of the program around it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// send a heartbeat; its reply goes to `answered`
+    Beat { to: Member, beat: Box<Beat> },
+    /// read the row; the outcome goes to `read` or `failed`
+    Read,
+    /// write the row; the outcome goes to `read` or `failed`
+    Write { expected: u64, roster: Box<Roster> },
+    /// ask for the records whose home this member becomes in `roster`; once
+    /// all of them are adopted, call `collected`
+    Collect { from: Member, roster: Box<Roster> },
+    /// adopt this process's own records of keys whose home it becomes
+    CollectOwn { epoch: u64 },
+    /// the roster went on without this member: a new incarnation begins, and
+    /// the claims of the last one are dropped
+    Reset,
+}
--- /dev/null
+++ b/crates/roster/src/history.rs
@@ -0,0 +1,73 @@
+use std::time::{Duration, Instant};
+
+use base::{Member, TaskId};
+
+use crate::{Roster, home};
+
+/// The rosters of one life of a member, oldest first and without a gap.
+#[derive(Debug, Default)]
+pub struct History {
+    rosters: Vec<Past>,
+}
+
+#[derive(Debug)]
+struct Past {
+    epoch: u64,
+    members: Vec<Member>,
+    learnt: Instant,
+}
+
+impl History {
+    /// Adds a newer roster; one that never settled is forgotten. False when
+    /// the member missed the roster that this one replaces.
+    #[must_use]
+    pub fn push(&mut self, roster: &Roster, joins: bool, now: Instant) -> bool {
+        if joins {
+            self.rosters.clear();
+        }
+        while self.rosters.last().is_some_and(|p| p.epoch > roster.base_epoch) {
+            self.rosters.pop();
+        }
+        let follows = self.rosters.last().is_some_and(|p| p.epoch == roster.base_epoch);
+        let members = roster.members.clone();
+        self.rosters.push(Past { epoch: roster.epoch, members, learnt: now });
+        joins || follows
+    }
+
+    /// First epoch of the unbroken tenure of this home, `None` when the last
+    /// roster has another.
+    pub fn since(&self, id: &TaskId, home: &Member) -> Option<u64> {
+        self.since_until(id, home, u64::MAX)
+    }
+
+    /// The same as of an earlier epoch.
+    pub fn since_until(&self, id: &TaskId, home: &Member, last: u64) -> Option<u64> {
+        let known = self.rosters.iter().rev().skip_while(|p| p.epoch > last);
+        let unbroken = known.take_while(|p| p.has_home(id, home));
+        unbroken.last().map(|p| p.epoch)
+    }
+
+    /// Whether this home held the key in every roster since `epoch`.
+    pub fn held_since(&self, id: &TaskId, home: &Member, epoch: u64) -> bool {
+        let start = self.rosters.iter().rposition(|p| p.epoch <= epoch);
+        start.is_some_and(|i| self.rosters[i..].iter().all(|p| p.has_home(id, home)))
+    }
+
+    /// Forgets rosters whose claims are past their retention.
+    pub fn prune(&mut self, retention: Duration, now: Instant) {
+        let expired = |p: &Past| now.duration_since(p.learnt) > retention;
+        while self.rosters.get(1).is_some_and(expired) {
+            self.rosters.remove(0);
+        }
+    }
+
+    pub fn clear(&mut self) {
+        self.rosters.clear();
+    }
+}
+
+impl Past {
+    fn has_home(&self, id: &TaskId, member: &Member) -> bool {
+        home(&self.members, id).is_some_and(|h| h.same_life(member))
+    }
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -4,10 +4,36 @@
 //! alone. Every key has one home among its members, found by rendezvous
 //! hashing, so a change of the roster moves only the keys it must move.
 
+mod beat;
+mod change;
+mod contacts;
 mod document;
+mod effect;
+mod history;
 mod home;
 mod homes;
+mod membership;
+mod settings;
+mod takeover;
 
+use base::Name;
+
+pub use beat::Beat;
+pub use change::Proposal;
 pub use document::{Confirmed, Mark, Roster};
+pub use effect::{Effect, Now};
 pub use home::home;
 pub use homes::Homes;
+pub use membership::{Handover, Membership};
+pub use settings::{Rule, Settings};
+
+/// What can go wrong with a change of a roster that an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    #[error("a loss is confirmed with a written reason")]
+    NoReason,
+    #[error("{0} is not a member of the roster")]
+    NotListed(Name),
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/roster/src/membership.rs
@@ -0,0 +1,606 @@
+use std::time::{Duration, Instant};
+
+use base::{Event, Member, TaskId, invariant};
+use claim::Tenure;
+
+use crate::{
+    Beat, Effect, Now, Proposal, Roster, Rule, Settings,
+    contacts::Contacts,
+    document::find,
+    history::History,
+    home,
+    takeover::{Missing, Takeover},
+};
+
+/// Longest wait for the outcome of a read or a write of the row.
+const ROW_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One member's side of the roster protocol: messages and time in, effects
+/// out.
+#[derive(Debug)]
+pub struct Membership {
+    settings: Settings,
+    me: Member,
+    origin: Instant,
+    /// when this life began
+    born: Instant,
+    intent: Intent,
+    roster: Roster,
+    history: History,
+    contacts: Contacts,
+    takeover: Option<Takeover>,
+    row: RowState,
+    /// when the unsettled roster was learnt, wall clock
+    learnt_ms: u64,
+    ready_since: Option<Instant>,
+    last_tick: Instant,
+    effects: Vec<Effect>,
+}
+
+/// Whether the member wants to be in the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Intent {
+    Stay,
+    Leave,
+}
+
+/// What is known of the row.
+#[derive(Debug, Default)]
+struct RowState {
+    /// version and change number last read
+    seen: Option<(u64, u64)>,
+    /// a read or a write without an outcome yet
+    busy: Option<Instant>,
+    last_read: Option<Instant>,
+    /// the document is newer than what was read
+    stale: bool,
+    /// the last write, until it is seen in the row
+    wrote: Option<Roster>,
+}
+
+/// What a member says to one that asks for records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handover {
+    /// hand the records over: the epoch is promised
+    Give,
+    /// the roster went on, or the document is not for this member
+    Refuse,
+}
+
+impl Membership {
+    pub fn new(me: Member, settings: Settings, now: Now) -> Self {
+        Self {
+            settings,
+            me,
+            origin: now.at,
+            born: now.at,
+            intent: Intent::Stay,
+            roster: Roster::default(),
+            history: History::default(),
+            contacts: Contacts::default(),
+            takeover: None,
+            row: RowState::default(),
+            learnt_ms: now.wall_ms,
+            ready_since: None,
+            last_tick: now.at,
+            effects: Vec::new(),
+        }
+    }
+
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    pub fn is_listed(&self) -> bool {
+        self.roster.lists(&self.me)
+    }
+
+    /// Whether a planned leave is over: the records are handed over.
+    pub fn has_left(&self) -> bool {
+        self.intent == Intent::Leave && self.roster.settled && !self.is_listed()
+    }
+
+    /// Whether this member may act as home for a task now.
+    pub fn tenure(&self, id: &TaskId, now: Instant) -> Tenure {
+        let epoch = self.roster.epoch;
+        if !self.is_home(id) || !self.has_permit(now) {
+            return Tenure::NotHome { epoch };
+        }
+        let Some(since) = self.history.since(id, &self.me) else {
+            return Tenure::NotHome { epoch };
+        };
+        let since = if self.settings.keeps(Rule::Tenure) { since } else { 1 };
+        Tenure::Home { epoch, since, unsure_before: self.unsure_before(since) }
+    }
+
+    /// Whether a grant by a home in an epoch still counts here.
+    pub fn counts(&self, id: &TaskId, from: &Member, epoch: u64) -> bool {
+        if !self.settings.keeps(Rule::Discard) {
+            return true;
+        }
+        let here = self.is_listed() || find(&self.roster.leaving, &self.me);
+        here && (epoch >= self.roster.epoch || self.history.held_since(id, from, epoch))
+    }
+
+    /// Whether a claim that this member granted in an epoch still counts: it
+    /// was made within the tenure that lasts, or that this change ends.
+    pub fn owns(&self, id: &TaskId, epoch: u64) -> bool {
+        let last = if self.roster.settled { self.roster.epoch } else { self.roster.base_epoch };
+        let tenure = self.history.since_until(id, &self.me, last);
+        tenure.is_some_and(|since| epoch >= since)
+    }
+
+    /// Whether heartbeats of majorities are acknowledged within the lease.
+    pub fn has_permit(&self, now: Instant) -> bool {
+        if !self.settings.keeps(Rule::Permit) {
+            return true;
+        }
+        let both = !self.roster.settled && self.settings.keeps(Rule::BothRosters);
+        let needed = if both { &self.roster.base[..] } else { &[] };
+        self.is_listed()
+            && self.has_majority(&self.roster.members, now)
+            && (needed.is_empty() || self.has_majority(needed, now))
+    }
+
+    /// Time passes: heartbeats, reads, and whatever became due.
+    pub fn tick(&mut self, now: Now) -> Vec<Effect> {
+        if now.at.duration_since(self.last_tick) > self.settings.suspect / 2 {
+            self.contacts.forgive();
+        }
+        self.last_tick = now.at;
+        self.history.prune(2 * self.settings.retention, now.at);
+        self.read_if_due(now);
+        self.beat_if_due(now);
+        self.advance(now)
+    }
+
+    /// A heartbeat came in; the first part of the result is its reply.
+    pub fn called(&mut self, beat: &Beat, now: Now) -> (Beat, Vec<Effect>) {
+        self.hear(beat, now);
+        let effects = self.advance(now);
+        (self.reply(beat, now), effects)
+    }
+
+    /// The reply to a heartbeat came in.
+    pub fn answered(&mut self, beat: &Beat, now: Now) -> Vec<Effect> {
+        self.hear(beat, now);
+        if beat.change < self.roster.change {
+            self.tell_sender(beat, now);
+        }
+        self.advance(now)
+    }
+
+    /// The row as the table has it now; version 0 when there is none.
+    pub fn read(&mut self, version: u64, row: Option<Roster>, now: Now) -> Vec<Effect> {
+        self.row.busy = None;
+        self.row.last_read = Some(now.at);
+        let roster = row.unwrap_or_default();
+        self.row.seen = Some((version, roster.change));
+        self.learn(&roster, now);
+        if self.row.wrote.as_ref() == Some(&roster) {
+            self.row.wrote = None;
+            self.tell_others(now);
+        }
+        self.advance(now)
+    }
+
+    /// A read or a write failed, or nobody knows whether it took effect.
+    pub fn failed(&mut self, _now: Now) {
+        self.row.busy = None;
+        self.row.seen = None;
+    }
+
+    /// A new home of `roster` asks for the records of its keys.
+    pub fn collect(&mut self, home: &Member, roster: &Roster, now: Now) -> (Handover, Vec<Effect>) {
+        self.learn(roster, now);
+        let promised = self.roster.epoch == roster.epoch && self.roster.lists(home);
+        let here = self.is_listed() || find(&self.roster.leaving, &self.me);
+        let effects = self.advance(now);
+        let handover = if promised && here { Handover::Give } else { Handover::Refuse };
+        (handover, effects)
+    }
+
+    /// All records of a member are adopted.
+    pub fn collected(&mut self, from: &Member, epoch: u64, now: Now) -> Vec<Effect> {
+        if epoch == self.roster.epoch {
+            self.contacts.promised(from, epoch, now.at);
+            if let Some(takeover) = &mut self.takeover {
+                takeover.collected(from);
+            }
+        }
+        self.advance(now)
+    }
+
+    /// Begins a planned leave: the others take over while this one lives.
+    pub fn leave(&mut self, now: Now) -> Vec<Effect> {
+        self.intent = Intent::Leave;
+        self.advance(now)
+    }
+
+    fn is_home(&self, id: &TaskId) -> bool {
+        let in_list = |list| home(list, id).is_some_and(|h: &Member| h.same_life(&self.me));
+        let settled = self.roster.settled || !self.settings.keeps(Rule::Settled);
+        in_list(&self.roster.members) && (settled || in_list(&self.roster.base))
+    }
+
+    fn has_majority(&self, members: &[Member], now: Instant) -> bool {
+        let lease = self.settings.lease;
+        let acked = |m: &&Member| m.same_life(&self.me) || self.contacts.is_acked(m, lease, now);
+        members.iter().filter(acked).count() >= majority(members.len())
+    }
+
+    fn unsure_before(&self, since: u64) -> Option<u64> {
+        let skew = self.settings.skew.as_millis() as u64;
+        let old = self.settings.keeps(Rule::OldMarks);
+        let binds = |epoch| epoch == since || (old && epoch < since);
+        let marks = self.roster.marks.iter().filter(|m| binds(m.epoch));
+        marks.map(|m| m.at_ms + skew).max()
+    }
+
+    fn hear(&mut self, beat: &Beat, now: Now) {
+        if beat.to != self.me.incarnation {
+            return;
+        }
+        if let Some(roster) = &beat.roster {
+            self.learn(roster, now);
+        }
+        self.contacts.hear(beat, now.at);
+        let promised = beat.epoch <= self.roster.epoch || !self.settings.keeps(Rule::Promise);
+        let sent = self.origin + Duration::from_micros(beat.echo);
+        if promised && beat.echo > 0 && sent >= self.born && sent <= now.at {
+            self.contacts.ack(&beat.from, beat.incarnation, sent);
+        }
+    }
+
+    fn reply(&self, beat: &Beat, now: Now) -> Beat {
+        let behind = beat.change < self.roster.change;
+        let roster = behind.then(|| self.roster.clone());
+        let stamp = beat.stamp;
+        Beat { echo: stamp, roster, ..self.say(beat.incarnation, now) }
+    }
+
+    fn say(&self, to: u64, now: Now) -> Beat {
+        Beat {
+            from: self.me.name.clone(),
+            incarnation: self.me.incarnation,
+            to,
+            epoch: self.roster.epoch,
+            change: self.roster.change,
+            ready: self.ready(now.at),
+            stamp: self.stamp(now.at),
+            echo: 0,
+            roster: None,
+        }
+    }
+
+    fn stamp(&self, at: Instant) -> u64 {
+        at.duration_since(self.origin).as_micros() as u64 + 1
+    }
+
+    fn send_beat(&mut self, to: &Member, now: Now) {
+        let known = self.contacts.get(to).map_or(0, |c| c.change);
+        let behind = known > 0 && known < self.roster.change;
+        self.send(to, behind.then(|| self.roster.clone()), now);
+    }
+
+    fn send(&mut self, to: &Member, roster: Option<Roster>, now: Now) {
+        let echo = self.contacts.get(to).map_or(0, |c| c.stamp);
+        let beat = Beat { echo, roster, ..self.say(to.incarnation, now) };
+        self.contacts.probe(to, now.at);
+        self.effects.push(Effect::Beat { to: to.clone(), beat: Box::new(beat) });
+    }
+
+    /// Spreads the document: its writer needn't wait until the others read it.
+    fn tell_others(&mut self, now: Now) {
+        for member in self.others() {
+            self.send(&member, Some(self.roster.clone()), now);
+        }
+    }
+
+    fn tell_sender(&mut self, beat: &Beat, now: Now) {
+        let sender = |m: &&Member| m.name == beat.from && m.incarnation == beat.incarnation;
+        if let Some(member) = self.others().iter().find(sender) {
+            self.send(member, Some(self.roster.clone()), now);
+        }
+    }
+
+    /// Everyone else whom this roster concerns.
+    fn others(&self) -> Vec<Member> {
+        let mut all = self.roster.members.clone();
+        let more = self.roster.base.iter().filter(|m| !self.roster.lists(m));
+        all.extend(more.cloned());
+        all.retain(|m| !m.same_life(&self.me));
+        all
+    }
+
+    fn read_if_due(&mut self, now: Now) {
+        if self.row.busy.is_some_and(|at| now.at.duration_since(at) > ROW_TIMEOUT) {
+            self.failed(now);
+        }
+        let last = self.row.last_read;
+        if last.is_none_or(|at| now.at.duration_since(at) >= self.settings.poll) {
+            self.ask_row(now);
+        }
+    }
+
+    fn ask_row(&mut self, now: Now) {
+        if self.row.busy.is_none() {
+            self.row.busy = Some(now.at);
+            self.row.last_read = Some(now.at);
+            self.effects.push(Effect::Read);
+        }
+    }
+
+    fn beat_if_due(&mut self, now: Now) {
+        for member in self.targets(now.at) {
+            if self.contacts.is_due(&member, self.settings.beat, now.at) {
+                self.send_beat(&member, now);
+            }
+        }
+    }
+
+    /// Whom to send heartbeats: the next few of the ring, whose own heartbeats
+    /// serve the ones before them; everyone while anything is amiss.
+    fn targets(&self, now: Instant) -> Vec<Member> {
+        if !self.is_listed() && !find(&self.roster.leaving, &self.me) {
+            return Vec::new();
+        }
+        let mut others = self.others();
+        let silent = |m: &Member| self.contacts.is_silent(m, self.settings.beat, now);
+        if !self.roster.settled || others.iter().any(silent) || !self.is_safe(now) {
+            return others;
+        }
+        others.sort_by_key(|m| (m.name < self.me.name, m.name.clone()));
+        others.truncate(majority(self.roster.members.len()).div_ceil(2));
+        others
+    }
+
+    /// Whether the permit lasts until the heartbeat after next.
+    fn is_safe(&self, now: Instant) -> bool {
+        self.has_permit(now + self.settings.beat)
+    }
+
+    /// Takes a newer document of the row.
+    fn learn(&mut self, roster: &Roster, now: Now) {
+        if roster.change <= self.roster.change {
+            return;
+        }
+        self.row.stale = true;
+        let was = self.is_listed() || find(&self.roster.leaving, &self.me);
+        let news = roster.epoch > self.roster.epoch;
+        self.roster = roster.clone();
+        if news {
+            self.begin_epoch(was, now);
+        }
+        if self.roster.settled {
+            self.takeover = None;
+        }
+        self.ready_since = None;
+    }
+
+    fn begin_epoch(&mut self, was: bool, now: Now) {
+        self.learnt_ms = now.wall_ms;
+        self.takeover = None;
+        if find(&self.roster.leaving, &self.me) {
+            return;
+        }
+        if !self.is_listed() {
+            if was && self.intent == Intent::Stay {
+                self.begin_life(now);
+            }
+            return;
+        }
+        let joins = !find(&self.roster.base, &self.me);
+        let founds = self.roster.settled && self.roster.members.len() == 1 && !was;
+        if self.roster.settled && !founds || !self.history.push(&self.roster, joins, now.at) {
+            // the others went on without this life's promise
+            self.begin_life(now);
+            return;
+        }
+        if !self.roster.settled && self.roster.gains(&self.me) {
+            let me = &self.me;
+            self.takeover = Some(Takeover::new(self.roster.sources().filter(|m| !m.same_life(me))));
+            self.effects.push(Effect::CollectOwn { epoch: self.roster.epoch });
+        }
+    }
+
+    fn begin_life(&mut self, now: Now) {
+        if !self.settings.keeps(Rule::NewLife) {
+            return;
+        }
+        Event::NewLife.log(format_args!("{} at epoch {}", self.me.name, self.roster.epoch));
+        self.me.incarnation = (self.me.incarnation + 1).max(now.wall_ms * 1000);
+        self.born = now.at;
+        self.history.clear();
+        self.contacts.clear();
+        self.takeover = None;
+        self.effects.push(Effect::Reset);
+    }
+
+    /// Does whatever is due after any input.
+    fn advance(&mut self, now: Now) -> Vec<Effect> {
+        self.collect_missing(now);
+        self.note_ready(now);
+        self.change_row(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn collect_missing(&mut self, now: Now) {
+        let Some(mut takeover) = self.takeover.take() else { return };
+        let every = self.settings.beat;
+        let due = |m: &&mut Missing| m.asked.is_none_or(|at| now.at.duration_since(at) >= every);
+        for missing in takeover.missing.iter_mut().filter(due) {
+            missing.asked = Some(now.at);
+            let roster = Box::new(self.roster.clone());
+            self.effects.push(Effect::Collect { from: missing.member.clone(), roster });
+        }
+        takeover.whole = self.roster.base.iter().all(|m| self.has_promised(m));
+        if takeover.broken.is_none() && self.is_broken() {
+            takeover.broken = Some(now.at);
+        }
+        self.takeover = Some(takeover);
+    }
+
+    /// Whether a member of the old roster acknowledges its epoch no more.
+    fn has_promised(&self, member: &Member) -> bool {
+        let epoch = self.roster.epoch;
+        let heard = |m: &Member| self.contacts.get(m).is_some_and(|c| c.epoch >= epoch);
+        let promised = |m: &Member| m.same_life(&self.me) || heard(m);
+        promised(member) || self.successor(member).is_some_and(promised)
+    }
+
+    /// A newer life under the same name and address: the older one is dead.
+    fn successor(&self, member: &Member) -> Option<&Member> {
+        let follows = |m: &&Member| {
+            m.name == member.name
+                && m.address == member.address
+                && m.incarnation > member.incarnation
+        };
+        self.roster.members.iter().find(follows)
+    }
+
+    /// Whether no majority of the old roster can acknowledge its epoch.
+    fn is_broken(&self) -> bool {
+        let base = &self.roster.base;
+        let promised = base.iter().filter(|m| self.has_promised(m) || self.is_confirmed(m));
+        promised.count() > base.len() - majority(base.len())
+    }
+
+    fn is_confirmed(&self, member: &Member) -> bool {
+        self.roster.confirmed.as_ref().is_some_and(|c| find(&c.lost, member))
+    }
+
+    /// The epoch whose records this member holds.
+    fn ready(&self, now: Instant) -> u64 {
+        let wait = self.settings.wait();
+        let over = |t: &Takeover| {
+            let ended = t.broken.is_some_and(|at| now.duration_since(at) >= wait);
+            let ended = ended || !self.settings.keeps(Rule::Wait);
+            let complete = t.missing.is_empty() || !self.settings.keeps(Rule::Collect);
+            complete && (t.whole || ended)
+        };
+        let ready = self.is_listed() && self.takeover.as_ref().is_none_or(over);
+        if ready { self.roster.epoch } else { 0 }
+    }
+
+    /// Tells those who settle first that the records are here.
+    fn note_ready(&mut self, now: Now) {
+        if self.roster.settled || self.ready(now.at) == 0 || self.ready_since.is_some() {
+            return;
+        }
+        self.ready_since = Some(now.at);
+        let first: Vec<_> = self.roster.members.iter().take(2).cloned().collect();
+        let mine = self.me.clone();
+        for member in first.iter().filter(|m| !m.same_life(&mine)) {
+            self.send_beat(member, now);
+        }
+    }
+
+    fn change_row(&mut self, now: Now) {
+        if self.row.busy.is_some() {
+            return;
+        }
+        let Some(next) = self.next(now) else { return };
+        match self.row.seen {
+            Some((version, change)) if change == self.roster.change => {
+                self.row.busy = Some(now.at);
+                self.row.wrote = Some(next.clone());
+                let roster = Box::new(next);
+                self.effects.push(Effect::Write { expected: version, roster });
+            }
+            _ => self.ask_row_soon(now),
+        }
+    }
+
+    /// Reads the row for a change, but not in a tight loop on a table that is down.
+    fn ask_row_soon(&mut self, now: Now) {
+        let pause = self.settings.poll / 8;
+        let last = self.row.last_read;
+        if self.row.stale || last.is_none_or(|at| now.at.duration_since(at) >= pause) {
+            self.row.stale = false;
+            self.ask_row(now);
+        }
+    }
+
+    /// The document that should follow, if any.
+    fn next(&self, now: Now) -> Option<Roster> {
+        if self.can_settle(now.at) {
+            let time = self.settings.keeps(Rule::MarkTime);
+            let wall_ms = if time { now.wall_ms } else { self.learnt_ms };
+            return Some(self.roster.settle(wall_ms, &self.settings));
+        }
+        let nobody =
+            self.roster.epoch == 0 || (self.roster.settled && self.roster.members.is_empty());
+        if nobody {
+            return (self.intent == Intent::Stay).then(|| self.roster.found(&self.me));
+        }
+        self.proposal(now.at).map(|p| self.roster.propose(&p, &self.settings))
+    }
+
+    /// Every member of the new roster is ready; the first listed settles it,
+    /// the others only if it doesn't.
+    fn can_settle(&self, now: Instant) -> bool {
+        if self.roster.settled || self.roster.epoch == 0 {
+            return false;
+        }
+        let epoch = self.roster.epoch;
+        let heard = |m: &Member| self.contacts.get(m).is_some_and(|c| c.ready >= epoch);
+        let ready = |m: &Member| if m.same_life(&self.me) { self.ready(now) > 0 } else { heard(m) };
+        if !self.roster.members.iter().all(ready) {
+            return false;
+        }
+        let Some(rank) = self.roster.members.iter().position(|m| m.same_life(&self.me)) else {
+            return self.roster.members.is_empty() && find(&self.roster.leaving, &self.me);
+        };
+        let patience = self.settings.beat * rank as u32;
+        self.ready_since.is_some_and(|at| now.duration_since(at) >= patience)
+    }
+
+    fn proposal(&self, now: Instant) -> Option<Proposal> {
+        if !self.is_listed() {
+            let joins = self.intent == Intent::Stay;
+            return joins.then(|| Proposal { joins: Some(self.me.clone()), ..Proposal::default() });
+        }
+        let lost = self.lost(now);
+        let leaves = self.intent == Intent::Leave && self.roster.settled;
+        let leaves = leaves.then(|| self.me.clone());
+        if lost.is_empty() && leaves.is_none() {
+            return None;
+        }
+        invariant!(!find(&lost, &self.me), "a member takes itself for lost");
+        Some(Proposal { joins: None, leaves, lost })
+    }
+
+    /// Members that are lost, as far as enough of the others are not: those
+    /// left must be able to break every majority of the old roster.
+    fn lost(&self, now: Instant) -> Vec<Member> {
+        let limit = self.settings.suspect;
+        let gone = |m: &Member| {
+            self.contacts.is_silent(m, limit, now)
+                || (self.is_confirmed(m) && !self.is_heard(m, now))
+        };
+        let listed = self.roster.members.iter().chain(&self.roster.leaving);
+        let lost: Vec<_> = listed.filter(|m| gone(m)).cloned().collect();
+        let base = if self.roster.settled { &self.roster.members } else { &self.roster.base };
+        let left = base.iter().filter(|m| self.is_left(m, now)).count();
+        if left > base.len() - majority(base.len()) { lost } else { Vec::new() }
+    }
+
+    fn is_left(&self, member: &Member, now: Instant) -> bool {
+        let here = |m: &Member| m.same_life(&self.me) || self.is_heard(m, now);
+        here(member) || self.successor(member).is_some_and(here) || self.is_confirmed(member)
+    }
+
+    fn is_heard(&self, member: &Member, now: Instant) -> bool {
+        self.contacts.is_heard(member, self.settings.suspect, now)
+    }
+}
+
+/// Least number of members that is more than half.
+fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
--- /dev/null
+++ b/crates/roster/src/settings.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+/// Times of the roster protocol.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// between two heartbeats to the same member
+    pub beat: Duration,
+    /// how long a heartbeat's acknowledgement lets its sender act as home
+    pub lease: Duration,
+    /// a member that leaves heartbeats unanswered for this long is lost
+    pub suspect: Duration,
+    /// between two reads of the row
+    pub poll: Duration,
+    /// how long a key is remembered
+    pub retention: Duration,
+    /// how far the wall clocks of two VMs may lie apart
+    pub skew: Duration,
+    /// how much faster one monotonic clock may run than another, per mille
+    pub drift: u32,
+    /// a rule left out, to see a check fail
+    pub without: Option<Rule>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            beat: Duration::from_millis(1500),
+            lease: Duration::from_secs(5),
+            suspect: Duration::from_secs(4),
+            poll: Duration::from_secs(2),
+            retention: Duration::from_secs(600),
+            skew: Duration::from_millis(500),
+            drift: 10,
+            without: None,
+        }
+    }
+}
+
+impl Settings {
+    /// Wait after which every permit of broken acknowledgements has ended.
+    pub fn wait(&self) -> Duration {
+        self.lease + self.lease * self.drift / 1000
+    }
+
+    pub(crate) fn keeps(&self, rule: Rule) -> bool {
+        self.without != Some(rule)
+    }
+}
+
+/// A rule that a check must miss when it is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// a takeover waits until the permits it broke have ended
+    Wait,
+    /// a member that promised discards older grants of keys that moved
+    Discard,
+    /// a member that promised acknowledges the epoch before no more
+    Promise,
+    /// home only with a permit
+    Permit,
+    /// while a change is unsettled a permit needs both rosters
+    BothRosters,
+    /// a new home grants only once the change is settled
+    Settled,
+    /// a loss that follows another leaves a mark
+    Mark,
+    /// marks stay in the row
+    MarkInRow,
+    /// a mark bears the time of settling
+    MarkTime,
+    /// marks older than a tenure bind it too
+    OldMarks,
+    /// records of a roster of one have no second copy
+    Lone,
+    /// a planned leave takes a copy away, as a loss does
+    Leave,
+    /// claims count only within an unbroken tenure
+    Tenure,
+    /// a removed member begins a new life
+    NewLife,
+    /// claims go to members of a settled roster only
+    Executors,
+    /// a new home counts its own records too
+    OwnRecords,
+    /// every remaining member hands over its records
+    Collect,
+}
