Merge claims; the roster tells the claim table of bars that were lost

A key whose home was lost has lost its bars too: the row keeps the losses, and a tenure gives barred_before. A grant is checked by its claim number alone: a hand-over voids what was asked for, so counts() went. A new home is a source of its own records.

--- a/crates/agent/src/peers/roster.rs
+++ b/crates/agent/src/peers/roster.rs
@@ -56,10 +56,6 @@
         Some(self.me.clone())
     }
 
-    fn counts(&self, _: &TaskId, _: &Member, _: u64) -> bool {
-        true
-    }
-
     fn home(&self, id: &TaskId) -> Option<Member> {
         self.known.borrow().home(id)
     }
@@ -68,7 +64,9 @@
         let known = self.known.borrow();
         let epoch = known.epoch;
         match roster::home(&known.members, id) {
-            Some(home) if *home == self.me => Tenure::Home { epoch, since: 1, unsure_before: None },
+            Some(home) if *home == self.me => {
+                Tenure::Home { epoch, since: 1, unsure_before: None, barred_before: None }
+            }
             _ => Tenure::NotHome { epoch },
         }
     }
--- a/crates/claim/src/call.rs
+++ b/crates/claim/src/call.rs
@@ -54,6 +54,11 @@
         Self { refusal }
     }
 
+    /// What the caller is told when nothing ran.
+    pub fn refusal(&self) -> &Answer {
+        &self.refusal
+    }
+
     /// Decides the next step.
     pub fn next(&mut self, event: Event) -> Step {
         match event {
@@ -85,7 +90,7 @@
             Grant::Held(holder) => Step::Attach(holder),
             Grant::Conflict => Step::Conflict,
             Grant::Unknown(why) => unknown(&why),
-            Grant::Granted { .. } | Grant::NotHome { .. } | Grant::Full => Step::Look,
+            Grant::Granted | Grant::NotHome { .. } | Grant::Full => Step::Look,
         }
     }
 
@@ -95,7 +100,7 @@
             Grant::Held(holder) => Step::Attach(holder),
             Grant::Conflict => Step::Conflict,
             Grant::Unknown(why) => unknown(&why),
-            Grant::Free | Grant::Granted { .. } | Grant::NotHome { .. } | Grant::Full => {
+            Grant::Free | Grant::Granted | Grant::NotHome { .. } | Grant::Full => {
                 unknown("the home of the key can't tell")
             }
         }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -2,8 +2,9 @@
 
 use base::{Name, Token};
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::{Map, Value};
 
-use crate::{Error, Result};
+use crate::{Error, Result, check_name};
 
 /// One thing wrong with one field of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +18,11 @@
     fn faults(&self) -> Vec<Fault>;
 }
 
+const RETENTION_MS: u64 = 900_000;
+/// The longest deadline and the longest run, with a margin.
+const LEAST_RETENTION_MS: u64 = 780_000;
+const SKEW_MS: u64 = 1000;
+
 /// Settings of `egret-entry`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -31,6 +37,8 @@
     /// URL of the platform
     pub platform: String,
     pub token: Token,
+    /// how an agent is chosen for a task
+    pub pick: PickKind,
     /// threads that serve callers
     pub threads: usize,
     /// largest body of a request, bytes
@@ -43,6 +51,10 @@
     pub warm_ms: u64,
     /// time for the balancer to see this entry unready, milliseconds
     pub unready_ms: u64,
+    /// how long agents remember a key, milliseconds; older keys are refused
+    pub retention_ms: u64,
+    /// how far apart the clocks of two VMs may be, milliseconds
+    pub skew_ms: u64,
 }
 
 impl Default for EntrySettings {
@@ -54,12 +66,15 @@
             rpc: SocketAddr::from(([127, 0, 0, 1], 7200)),
             platform: "http://127.0.0.1:7000".to_owned(),
             token: Token::default(),
+            pick: PickKind::default(),
             threads: 2,
             body_bytes: 1 << 20,
             poll_ms: 1000,
             silence_ms: 2000,
             warm_ms: 1500,
             unready_ms: 500,
+            retention_ms: RETENTION_MS,
+            skew_ms: SKEW_MS,
         }
     }
 }
@@ -71,10 +86,37 @@
         at_least("body_bytes", self.body_bytes as u64, 1024, &mut faults);
         at_least("poll_ms", self.poll_ms, 50, &mut faults);
         at_least("silence_ms", self.silence_ms, 200, &mut faults);
+        at_least("retention_ms", self.retention_ms, LEAST_RETENTION_MS, &mut faults);
         faults
     }
 }
 
+/// How an entry chooses an agent for a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PickKind {
+    /// by the expected wait and run time there
+    #[default]
+    ExpectedWait,
+    /// any: a baseline for measurements
+    Random,
+    /// each in turn: a baseline for measurements
+    RoundRobin,
+    /// fewest tasks of this entry: a baseline for measurements
+    LeastOutstanding,
+}
+
+/// Order in which an agent starts queued tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueKind {
+    /// short work beside long, by deadline and run times observed
+    #[default]
+    Classes,
+    /// first in, first out: a baseline for measurements
+    Fifo,
+}
+
 /// Settings of `egret-agent`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -97,10 +139,20 @@
     pub slots: u32,
     /// connections it may open to its backend server
     pub connections: u32,
+    /// order in which queued tasks start
+    pub queue: QueueKind,
     /// how often entries are greeted, milliseconds
     pub beat_ms: u64,
     /// a backend server that has not renewed for this long is gone, milliseconds
     pub renew_ms: u64,
+    /// how long a claim and an answer are remembered, milliseconds
+    pub retention_ms: u64,
+    /// how far apart the clocks of two VMs may be, milliseconds
+    pub skew_ms: u64,
+    /// most claims, and most records of tasks, kept at once
+    pub records: usize,
+    /// most memory of claims, and of records with their answers, bytes
+    pub record_bytes: usize,
 }
 
 impl Default for AgentSettings {
@@ -117,8 +169,13 @@
             token: Token::default(),
             slots: 8,
             connections: 64,
+            queue: QueueKind::default(),
             beat_ms: 500,
             renew_ms: 3000,
+            retention_ms: RETENTION_MS,
+            skew_ms: SKEW_MS,
+            records: 200_000,
+            record_bytes: 48 << 20,
         }
     }
 }
@@ -128,6 +185,8 @@
         let mut faults = common(&self.name, &self.platform, &self.token);
         if self.service.is_empty() {
             faults.push(fault("service", "is missing: name the service of the backend server"));
+        } else if let Some(why) = check_name(&self.service) {
+            faults.push(fault("service", why));
         }
         if self.entries.is_empty() {
             faults.push(fault("entries", "is empty: name at least one entry's rpc address"));
@@ -136,6 +195,9 @@
         at_least("connections", self.connections.into(), self.slots.into(), &mut faults);
         at_least("beat_ms", self.beat_ms, 50, &mut faults);
         at_least("renew_ms", self.renew_ms, 200, &mut faults);
+        at_least("retention_ms", self.retention_ms, LEAST_RETENTION_MS, &mut faults);
+        at_least("records", self.records as u64, 100, &mut faults);
+        at_least("record_bytes", self.record_bytes as u64, 1 << 20, &mut faults);
         faults
     }
 }
@@ -147,19 +209,36 @@
 pub fn load<S: DeserializeOwned + Check>(path: &str) -> Result<S> {
     let text = fs::read_to_string(path)
         .map_err(|e| Error::Read { path: path.to_owned(), why: e.to_string() })?;
-    let settings: S = serde_json::from_str(&text)
+    let fields: Map<String, Value> = serde_json::from_str(&text)
+        .map_err(|e| Error::Parse { path: path.to_owned(), why: e.to_string() })?;
+    let (mut faults, sound) = each_alone::<S>(fields);
+    let settings: S = serde_json::from_value(Value::Object(sound))
         .map_err(|e| Error::Parse { path: path.to_owned(), why: e.to_string() })?;
-    let faults = settings.faults();
+    faults.extend(settings.faults());
     if faults.is_empty() {
         return Ok(settings);
     }
     Err(Error::Faults { path: path.to_owned(), faults })
 }
 
+/// Reads each field by itself, so that one fault doesn't hide the next.
+fn each_alone<S: DeserializeOwned>(fields: Map<String, Value>) -> (Vec<Fault>, Map<String, Value>) {
+    let mut faults = Vec::new();
+    let mut sound = Map::new();
+    for (name, value) in fields {
+        let alone = Map::from_iter([(name.clone(), value.clone())]);
+        match serde_json::from_value::<S>(Value::Object(alone)) {
+            Ok(_) => drop(sound.insert(name, value)),
+            Err(e) => faults.push(fault(&name, &e.to_string())),
+        }
+    }
+    (faults, sound)
+}
+
 fn common(name: &str, platform: &str, token: &Token) -> Vec<Fault> {
     let mut faults = Vec::new();
-    if name.is_empty() {
-        faults.push(fault("name", "is empty"));
+    if let Some(why) = check_name(name) {
+        faults.push(fault("name", why));
     }
     if !platform.starts_with("http://") {
         faults.push(fault("platform", "must be a URL that starts with http://"));
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::Event;
+use base::{Event, clock_micros};
 use conf::EntrySettings;
 use log::LevelFilter;
 use plat::HttpPlatform;
@@ -20,8 +20,9 @@
 
 use crate::{
     Error, Result, cli,
-    fleet::{Agents, Current, Rosters, Watcher},
+    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher},
     http,
+    metrics::Metrics,
     rpc::EntryRpc,
 };
 
@@ -32,6 +33,9 @@
     pub agents: Arc<Agents>,
     pub fleet: Arc<Current>,
     pub rosters: Arc<Rosters>,
+    /// the other entries
+    pub peers: Arc<Peers>,
+    pub metrics: Arc<Metrics>,
     pub started: Instant,
     /// true from the start of a graceful shutdown
     pub stopping: Arc<AtomicBool>,
@@ -56,6 +60,8 @@
         agents: Arc::new(Agents::new(silence)),
         fleet: Arc::default(),
         rosters: Arc::default(),
+        peers: Arc::default(),
+        metrics: Arc::default(),
         started: Instant::now(),
         stopping: Arc::default(),
         settings: Arc::new(settings),
@@ -67,12 +73,15 @@
         shared.settings.token.clone(),
         capnp_rpc::new_client(EntryRpc::new(shared.clone())),
     );
-    actix::spawn(wire::serve(listener, capnp_rpc::new_client(door)));
+    actix::spawn(wire::serve(listener, door));
     let platform = Rc::new(HttpPlatform::new(&shared.settings.platform));
     let poll = Duration::from_millis(shared.settings.poll_ms);
     let rosters = shared.rosters.clone();
     actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
-    actix::spawn(Watcher::new(platform, shared.fleet.clone(), poll).run());
+    actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
+    let registrar =
+        Registrar::new(platform, shared.peers.clone(), &shared.settings, clock_micros());
+    actix::spawn(registrar.run());
     let server = http::start(&shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -1,5 +1,3 @@
-use std::fmt;
-
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use serde::Serialize;
 
@@ -8,18 +6,32 @@
 pub enum Error {
     #[error("the body can't be read: {0}")]
     Malformed(String),
-    #[error("the body is too large: {0}")]
-    TooLarge(String),
+    #[error("the body is too large: split the job, or ask the operator for more body_bytes")]
+    TooLarge,
+    #[error("the body came too slowly: send it within 10 s")]
+    SlowBody,
     #[error("there is no service {0}; ask the operator which services there are")]
     UnknownService(String),
     #[error("team {0} may not call this service; ask the operator to add it")]
     UnknownTeam(String),
     #[error("the deadline has passed: give a deadline_ms of at least 1")]
     DeadlinePassed,
+    #[error("the key was issued more than {0} ms ago and is no longer remembered: use a new key")]
+    KeyExpired(u64),
     #[error("the job has {0} tasks: send 1 to {MAX_TASKS}, and split a larger job")]
     TaskCount(usize),
     #[error("{field} {why}")]
     Field { field: &'static str, why: &'static str },
+    #[error("there is no {0}; docs/CALLERS.md lists what can be asked")]
+    UnknownPath(String),
+    #[error("{0} is not to be had with this method; docs/CALLERS.md lists what can be asked")]
+    WrongMethod(String),
+    #[error("the fleet token is missing or wrong: send it in the egret-token header")]
+    WrongToken,
+    #[error("no agent {0} has greeted this entry; list them with `egretctl agents`")]
+    UnknownAgent(String),
+    #[error("the agent can't be told: {0}; ask again, or through another entry")]
+    Agent(String),
     #[error(transparent)]
     Call(#[from] crate::call::Error),
 }
@@ -29,6 +41,10 @@
 /// Most tasks of one job.
 pub const MAX_TASKS: usize = 750;
 
+/// Marks a response as a refusal, for counting.
+#[derive(Clone, Copy, Debug)]
+pub struct Code(pub &'static str);
+
 #[derive(Serialize)]
 struct Body<'a> {
     error: Detail<'a>,
@@ -41,15 +57,22 @@
 }
 
 impl Error {
-    fn code(&self) -> &'static str {
+    pub fn code(&self) -> &'static str {
         match self {
             Error::Malformed(_) => "malformed",
-            Error::TooLarge(_) => "too-large",
+            Error::TooLarge => "too-large",
+            Error::SlowBody => "slow-body",
             Error::UnknownService(_) => "unknown-service",
             Error::UnknownTeam(_) => "unknown-team",
             Error::DeadlinePassed => "deadline-passed",
+            Error::KeyExpired(_) => "key-expired",
             Error::TaskCount(_) => "task-count",
             Error::Field { .. } => "bad-field",
+            Error::UnknownPath(_) => "unknown-path",
+            Error::WrongMethod(_) => "wrong-method",
+            Error::WrongToken => "wrong-token",
+            Error::UnknownAgent(_) => "unknown-agent",
+            Error::Agent(_) => "agent-unreachable",
             Error::Call(crate::call::Error::Conflict) => "key-conflict",
         }
     }
@@ -61,9 +84,16 @@
             Error::Malformed(_) | Error::DeadlinePassed | Error::Field { .. } => {
                 StatusCode::BAD_REQUEST
             }
-            Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Error::UnknownService(_) => StatusCode::NOT_FOUND,
+            Error::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Error::UnknownService(_) | Error::UnknownPath(_) | Error::UnknownAgent(_) => {
+                StatusCode::NOT_FOUND
+            }
+            Error::WrongMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Error::WrongToken => StatusCode::UNAUTHORIZED,
+            Error::Agent(_) => StatusCode::BAD_GATEWAY,
             Error::UnknownTeam(_) => StatusCode::FORBIDDEN,
+            Error::KeyExpired(_) => StatusCode::GONE,
             Error::TaskCount(_) => StatusCode::UNPROCESSABLE_ENTITY,
             Error::Call(crate::call::Error::Conflict) => StatusCode::CONFLICT,
         }
@@ -71,16 +101,9 @@
 
     fn error_response(&self) -> HttpResponse {
         let detail = Detail { code: self.code(), message: self.to_string() };
-        HttpResponse::build(self.status_code()).json(Body { error: detail })
-    }
-}
-
-impl From<actix_web::error::PayloadError> for Error {
-    fn from(e: actix_web::error::PayloadError) -> Self {
-        match e {
-            actix_web::error::PayloadError::Overflow => Error::TooLarge(e.to_string()),
-            e => Error::Malformed(e.to_string()),
-        }
+        let mut res = HttpResponse::build(self.status_code()).json(Body { error: detail });
+        res.extensions_mut().insert(Code(self.code()));
+        res
     }
 }
 
@@ -94,9 +117,3 @@
 pub fn bad_field<T>(field: &'static str, why: &'static str) -> Result<T> {
     Err(Error::Field { field, why })
 }
-
-impl fmt::Display for Detail<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.code, self.message)
-    }
-}
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -1,9 +1,13 @@
 //! The callers' interface over HTTP with JSON.
 
+mod admin;
 mod answer;
+mod body;
 mod error;
 mod health;
 mod job;
+mod key;
+mod refusal;
 mod request;
 mod server;
 mod submit;
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -4,7 +4,9 @@
 mod balancer;
 mod fleet;
 mod process;
+mod tool;
 
 pub use balancer::Balancer;
 pub use fleet::{Deployment, Sent};
 pub use process::{Process, free_port};
+pub use tool::{Ran, Tool};
--- a/crates/roster/src/change.rs
+++ b/crates/roster/src/change.rs
@@ -63,12 +63,17 @@
         if self.may_forget(recent, settings) {
             marks.push(Mark { epoch: self.epoch, at_ms: wall_ms });
         }
+        let mut losses: Vec<_> = self.losses.iter().filter(|m| recent(m.at_ms)).copied().collect();
+        if self.lost().count() > 0 {
+            losses.push(Mark { epoch: self.epoch, at_ms: wall_ms });
+        }
         let thinned_ms = if self.is_thinned(settings) { Some(wall_ms) } else { self.thinned_ms };
         Self {
             settled: true,
             base: Vec::new(),
             leaving: Vec::new(),
             marks,
+            losses,
             thinned_ms,
             confirmed: None,
             change: self.change + 1,
--- a/crates/roster/src/document.rs
+++ b/crates/roster/src/document.rs
@@ -21,8 +21,10 @@
     pub base: Vec<Member>,
     /// members of `base` that leave as planned and hand over first
     pub leaving: Vec<Member>,
-    /// what nobody may remember
+    /// keys issued before may have run with nobody left who remembers
     pub marks: Vec<Mark>,
+    /// changes that followed a loss; what the lost had barred is forgotten
+    pub losses: Vec<Mark>,
     /// when the records of a member last went away, unix milliseconds
     pub thinned_ms: Option<u64>,
     /// losses that an operator vouches for
@@ -31,12 +33,12 @@
     pub change: u64,
 }
 
-/// Keys issued before this may have run with nobody left who remembers.
+/// A change, and when it settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mark {
     pub epoch: u64,
-    /// when the change settled, unix milliseconds
+    /// unix milliseconds
     pub at_ms: u64,
 }
 
@@ -83,6 +85,12 @@
         self.base.iter().filter(gone)
     }
 
+    /// Whether this change makes another member the home of a key.
+    pub fn moves(&self, id: &TaskId, to: &Member) -> bool {
+        let is_home = |list| home(list, id).is_some_and(|h: &Member| h.same_life(to));
+        is_home(&self.members) && !is_home(&self.base)
+    }
+
     /// Whether this member becomes home of keys that another one held.
     pub fn gains(&self, member: &Member) -> bool {
         let named = |name: &Name| self.members.iter().any(|m| m.name == *name);
@@ -104,10 +112,6 @@
         Tenure::NotHome { epoch: self.epoch }
     }
 
-    fn counts(&self, _: &TaskId, _: &Member, _: u64) -> bool {
-        false
-    }
-
     fn epoch(&self) -> u64 {
         self.epoch
     }
--- a/crates/roster/src/effect.rs
+++ b/crates/roster/src/effect.rs
@@ -24,8 +24,10 @@
     /// ask for the records whose home this member becomes in `roster`; once
     /// all of them are adopted, call `collected`
     Collect { from: Member, roster: Box<Roster> },
-    /// adopt this process's own records of keys whose home it becomes
-    CollectOwn { epoch: u64 },
+    /// the same with this process's own records
+    CollectOwn { roster: Box<Roster> },
+    /// a roster is settled: claims of keys that moved away may go
+    Settled,
     /// the roster went on without this member: a new incarnation begins, and
     /// the claims of the last one are dropped
     Reset,
--- a/crates/roster/src/homes.rs
+++ b/crates/roster/src/homes.rs
@@ -15,10 +15,6 @@
     /// Whether this process may act as home for a task at this moment.
     fn tenure(&self, id: &TaskId, now: Instant) -> Tenure;
 
-    /// Whether a grant that `home` made in `epoch` still counts here. Asked
-    /// before the grant is recorded; one that doesn't count is asked for anew.
-    fn counts(&self, id: &TaskId, home: &Member, epoch: u64) -> bool;
-
     /// Epoch of the roster known here, 0 when there is none.
     fn epoch(&self) -> u64;
 
--- a/crates/roster/src/membership.rs
+++ b/crates/roster/src/membership.rs
@@ -4,7 +4,7 @@
 use claim::Tenure;
 
 use crate::{
-    Beat, Effect, Now, Proposal, Roster, Rule, Settings,
+    Beat, Effect, Mark, Now, Proposal, Roster, Rule, Settings,
     contacts::Contacts,
     document::find,
     history::History,
@@ -110,21 +110,19 @@
         if !self.is_home(id) || !self.has_permit(now) {
             return Tenure::NotHome { epoch };
         }
-        let Some(since) = self.history.since(id, &self.me) else {
+        let Some(since) = self.since(id) else {
             return Tenure::NotHome { epoch };
         };
         let since = if self.settings.keeps(Rule::Tenure) { since } else { 1 };
-        Tenure::Home { epoch, since, unsure_before: self.unsure_before(since) }
+        let marks = &self.roster.marks;
+        let unsure_before = self.newest(marks, since).map(|at_ms| at_ms + self.skew_ms());
+        let barred_before = self.newest(&self.roster.losses, since);
+        Tenure::Home { epoch, since, unsure_before, barred_before }
     }
 
-    /// Whether a grant by a home in an epoch still counts here.
-    pub fn counts(&self, id: &TaskId, from: &Member, epoch: u64) -> bool {
-        if !self.settings.keeps(Rule::Discard) {
-            return true;
-        }
-        let listed = self.is_listed() || find(&self.roster.leaving, &self.me);
-        let here = listed || !self.settings.keeps(Rule::Strangers);
-        here && (epoch >= self.roster.epoch || self.history.held_since(id, from, epoch))
+    /// First epoch of this member's unbroken tenure of a key, if it lasts.
+    pub fn since(&self, id: &TaskId) -> Option<u64> {
+        self.history.since(id, &self.me)
     }
 
     /// Whether a claim that this member granted in an epoch still counts: it
@@ -135,13 +133,6 @@
         tenure.is_some_and(|since| epoch >= since)
     }
 
-    /// Whether this change makes another member the home of a key.
-    pub fn moves_to(&self, id: &TaskId, to: &Member) -> bool {
-        let now = home(&self.roster.members, id).is_some_and(|h| h.same_life(to));
-        let before = home(&self.roster.base, id).is_some_and(|h| h.same_life(to));
-        now && !before
-    }
-
     /// Whether heartbeats of majorities are acknowledged within the lease.
     pub fn has_permit(&self, now: Instant) -> bool {
         if !self.settings.keeps(Rule::Permit) {
@@ -242,12 +233,15 @@
         members.iter().filter(acked).count() >= majority(members.len())
     }
 
-    fn unsure_before(&self, since: u64) -> Option<u64> {
-        let skew = self.settings.skew.as_millis() as u64;
+    /// Time of the newest of these changes that was no later than a tenure.
+    fn newest(&self, changes: &[Mark], since: u64) -> Option<u64> {
         let old = self.settings.keeps(Rule::OldMarks);
         let binds = |epoch| epoch == since || (old && epoch < since);
-        let marks = self.roster.marks.iter().filter(|m| binds(m.epoch));
-        marks.map(|m| m.at_ms + skew).max()
+        changes.iter().filter(|m| binds(m.epoch)).map(|m| m.at_ms).max()
+    }
+
+    fn skew_ms(&self) -> u64 {
+        self.settings.skew.as_millis() as u64
     }
 
     fn hear(&mut self, beat: &Beat, now: Now) {
@@ -391,6 +385,7 @@
         }
         if self.roster.settled {
             self.takeover = None;
+            self.effects.push(Effect::Settled);
         }
         self.ready_since = None;
     }
@@ -427,9 +422,7 @@
             return;
         }
         if !self.roster.settled && self.roster.gains(&self.me) {
-            let me = &self.me;
-            self.takeover = Some(Takeover::new(self.roster.sources().filter(|m| !m.same_life(me))));
-            self.effects.push(Effect::CollectOwn { epoch: self.roster.epoch });
+            self.takeover = Some(Takeover::new(self.roster.sources()));
         }
     }
 
@@ -458,8 +451,13 @@
         let due = |m: &&mut Missing| m.asked.is_none_or(|at| now.at.duration_since(at) >= every);
         for missing in takeover.missing.iter_mut().filter(due) {
             missing.asked = Some(now.at);
+            let from = missing.member.clone();
             let roster = Box::new(self.roster.clone());
-            self.effects.push(Effect::Collect { from: missing.member.clone(), roster });
+            self.effects.push(if from.same_life(&self.me) {
+                Effect::CollectOwn { roster }
+            } else {
+                Effect::Collect { from, roster }
+            });
         }
         takeover.whole = self.roster.base.iter().all(|m| self.has_promised(m));
         if takeover.broken.is_none() && self.is_broken() {
--- a/crates/roster/src/settings.rs
+++ b/crates/roster/src/settings.rs
@@ -52,7 +52,7 @@
 pub enum Rule {
     /// a takeover waits until the permits it broke have ended
     Wait,
-    /// a member that promised discards older grants of keys that moved
+    /// a member that hands over gives up claims it is still asking for
     Discard,
     /// home only with a permit
     Permit,
