--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -22,7 +22,7 @@
     greet::{Greeter, Identity},
     home::{Claimer, Clock, Desk, holder},
     http,
-    peers::Peers,
+    peers::{Hands, Peers},
     rpc::AgentRpc,
     run::{Claims, Drain, Inspect, Runner},
 };
@@ -31,6 +31,9 @@
 /// Longest wait at a stop for homes to hear of claims given up.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Longest wait at a stop for the others to take over what is remembered here.
+const LEAVE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Runs an agent until it is told to stop.
 pub fn run() -> eyre::Result<()> {
     let args = cli::args().run();
@@ -49,21 +52,20 @@
     let listener = listen(settings.rpc).await?;
     let identity = Identity::new(&settings, clock_micros());
     let platform = Rc::new(HttpPlatform::new(&settings.platform));
-    let poll = Duration::from_millis(settings.beat_ms);
     let me = identity.member();
-    let peers = Peers::new(me.clone(), &settings.service, platform, poll);
+    let peers = Peers::new(me.clone(), &settings, platform);
     let clock = Clock::new();
     let desk = Rc::new(Desk::new(&settings, me.clone(), peers.clone(), clock));
     let claimer = Claimer::new(me.clone(), peers.clone(), desk.clone(), settings.token.clone());
     let claims = Claims { me: holder(&me), claimer: claimer.clone(), desk: desk.clone(), clock };
     let runner = Runner::new(&settings, claims).start();
     let fleet: Arc<Current> = Arc::default();
-    let greeter = Greeter::new(&settings, identity, runner.clone(), fleet.clone());
+    let greeter = Greeter::new(&settings, identity, runner.clone(), fleet.clone(), peers.clone());
 
-    let rpc = AgentRpc::new(runner.clone(), greeter.clone(), desk);
+    let rpc = AgentRpc::new(runner.clone(), greeter.clone(), desk.clone(), peers.clone());
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     actix::spawn(wire::serve(listener, door));
-    actix::spawn(peers.run());
+    peers.start(Hands { desk, runner: runner.clone() });
     let server = http::start(&settings, runner.clone(), fleet)?;
     greeter.start();
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
@@ -73,6 +75,7 @@
     runner.do_send(Drain::On);
     greeter.greet_now().await;
     idle(&runner, &claimer).await;
+    peers.leave(LEAVE_LIMIT).await;
     server.stop(true).await;
     Event::Stopped.log(format_args!("{}", settings.name));
     Ok(())
--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -11,6 +11,7 @@
 use base::{Event, Member, Name, Token};
 use conf::{AgentSettings, Current, Snapshot};
 use futures::future::join_all;
+use roster::Homes;
 use tokio::time::{sleep, timeout};
 use wire::{AgentInfo, Link, Load, dial, write_info};
 
@@ -66,6 +67,7 @@
     beat: Duration,
     runner: Addr<Runner>,
     fleet: Arc<Current>,
+    homes: Rc<dyn Homes>,
     /// named in the settings, greeted for as long as the process runs
     named: Vec<SocketAddr>,
     known: RefCell<HashSet<SocketAddr>>,
@@ -78,6 +80,7 @@
         identity: Identity,
         runner: Addr<Runner>,
         fleet: Arc<Current>,
+        homes: Rc<dyn Homes>,
     ) -> Self {
         let state = State {
             identity,
@@ -85,6 +88,7 @@
             beat: Duration::from_millis(settings.beat_ms),
             runner,
             fleet,
+            homes,
             named: settings.entries.clone(),
             known: RefCell::new(settings.entries.iter().copied().collect()),
             links: RefCell::default(),
@@ -181,14 +185,14 @@
         let id = &self.state.identity;
         AgentInfo {
             name: id.name.clone(),
-            incarnation: id.incarnation,
+            incarnation: self.state.homes.me().map_or(id.incarnation, |me| me.incarnation),
             address: id.address,
             centre: id.centre.clone(),
             rack: id.rack.clone(),
             service: id.service.clone(),
             load,
             version,
-            epoch: 0,
+            epoch: self.state.homes.epoch(),
         }
     }
 
--- a/crates/agent/src/home/claimer.rs
+++ b/crates/agent/src/home/claimer.rs
@@ -41,6 +41,13 @@
     releasing: Cell<usize>,
 }
 
+impl State {
+    /// This agent under its newest incarnation.
+    fn me(&self) -> Member {
+        self.homes.me().unwrap_or_else(|| self.me.clone())
+    }
+}
+
 struct Ask {
     claim: Claim,
     reply: oneshot::Sender<Grant>,
@@ -66,7 +73,7 @@
             return Some(Grant::NotHome { epoch: self.state.homes.epoch() });
         };
         if home.name == self.state.me.name {
-            return Some(self.state.desk.claim(&self.state.me, claim));
+            return Some(self.state.desk.claim(&self.state.me(), claim));
         }
         let (reply, grant) = oneshot::channel();
         self.enqueue(home.address, Ask { claim, reply });
@@ -131,7 +138,7 @@
         let link = self.state.links.get(home).await?;
         let mut req = link.agent()?.claim_request();
         req.get().set_epoch(self.state.homes.epoch());
-        write_member(req.get().init_executor(), &self.state.me);
+        write_member(req.get().init_executor(), &self.state.me());
         let mut claims = req.get().init_claims(batch.len() as u32);
         for (i, ask) in (0..).zip(batch) {
             write_claim(claims.reborrow().get(i), &ask.claim);
@@ -147,13 +154,13 @@
             return Err(wire::Error::Lost("no home is known".to_owned()));
         };
         if home.name == state.me.name {
-            let heard = state.desk.release(&state.me, claim, release);
+            let heard = state.desk.release(&state.me(), claim, release);
             return heard.then_some(()).ok_or_else(|| wire::Error::Lost("not home now".to_owned()));
         }
         let link = state.links.get(home.address).await?;
         let mut req = link.agent()?.release_request();
         req.get().set_epoch(state.homes.epoch());
-        write_member(req.get().init_executor(), &state.me);
+        write_member(req.get().init_executor(), &state.me());
         write_claim(req.get().init_claims(1).get(0), claim);
         req.get().init_bars(1).set(0, release == Release::Bar);
         req.send().promise.await?;
--- a/crates/agent/src/home/desk.rs
+++ b/crates/agent/src/home/desk.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, rc::Rc, time::Instant};
 
-use base::Member;
-use claim::{Claim, Found, Grant, Holder, Release, Table};
+use base::{Member, TaskId};
+use claim::{Claim, Found, Grant, Holder, Record, Release, Table};
 use conf::AgentSettings;
 use roster::Homes;
 
@@ -48,6 +48,25 @@
         self.table.borrow_mut().bar(tenure, claim, self.clock.now())
     }
 
+    /// What a new home must know of the keys that move to it; `moved` is asked
+    /// with the key and the first epoch of the tenure its claim was made in.
+    pub fn hand_over(&self, moved: impl Fn(&TaskId, u64) -> bool) -> Vec<Record> {
+        self.table.borrow().hand_over(moved)
+    }
+
+    /// Takes over what others know of the keys whose home this agent became.
+    pub fn adopt(&self, records: Vec<Record>, since: u64) {
+        let now = self.clock.now();
+        let mut table = self.table.borrow_mut();
+        records.into_iter().for_each(|record| table.adopt(record, since, now));
+    }
+
+    /// Drops claims of tenures that have ended; `since` tells the first epoch
+    /// of the tenure of a key, if this is its home.
+    pub fn drop_moved(&self, since: impl Fn(&TaskId) -> Option<u64>) {
+        self.table.borrow_mut().drop_moved(since);
+    }
+
     /// Drops claims that were kept for their time.
     pub fn expire(&self) {
         self.table.borrow_mut().expire(self.clock.now());
--- /dev/null
+++ b/crates/agent/src/peers/effects.rs
@@ -0,0 +1,158 @@
+use std::{future::Future, rc::Rc};
+
+use base::{Event, Member};
+use claim::{Holder, Record};
+use plat::Row;
+use roster::{Beat, Effect, Roster};
+use tokio::time::timeout;
+use wire::{read_beat, read_record, write_beat, write_member};
+
+use super::{Peers, state::now};
+use crate::run::{HandOver, Renew};
+
+impl Peers {
+    /// Does what the state machine asks.
+    pub(super) fn act(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            let peers = self.clone();
+            match effect {
+                Effect::Beat { to, beat } => drop(actix::spawn(peers.beat(to, beat))),
+                Effect::Read => drop(actix::spawn(peers.read())),
+                Effect::Write { expected, roster } => {
+                    drop(actix::spawn(peers.write(expected, *roster)));
+                }
+                Effect::Collect { from, roster } => {
+                    drop(actix::spawn(peers.collect_from(from, *roster)));
+                }
+                Effect::CollectOwn { roster } => drop(actix::spawn(peers.collect_own(*roster))),
+                Effect::Settled => self.settled(),
+                Effect::Reset => self.reset(),
+            }
+        }
+    }
+
+    async fn beat(self: Rc<Self>, to: Member, beat: Box<Beat>) {
+        if let Some(Ok(reply)) = self.in_time(self.send_beat(&to, &beat)).await {
+            self.apply(|member, now| member.answered(&reply, now));
+        }
+    }
+
+    async fn send_beat(&self, to: &Member, beat: &Beat) -> wire::Result<Beat> {
+        let link = self.links.get(to.address).await?;
+        let mut req = link.agent()?.beat_request();
+        write_beat(req.get().init_beat(), beat);
+        let res = req.send().promise.await?;
+        read_beat(res.get()?.get_ack()?)
+    }
+
+    async fn read(self: Rc<Self>) {
+        match self.table.get(&self.row).await {
+            Ok(row) => self.note_row(&row),
+            Err(_) => self.note_failure(),
+        }
+    }
+
+    async fn write(self: Rc<Self>, expected: u64, roster: Roster) {
+        match self.table.put(&self.row, expected, roster.to_text()).await {
+            Ok(version) => {
+                self.apply(|member, now| member.read(version, Some(roster), now));
+            }
+            Err(plat::Error::Conflict(row)) => self.note_row(&row),
+            Err(_) => self.note_failure(),
+        }
+    }
+
+    fn note_row(self: &Rc<Self>, row: &Row) {
+        if row.version == 0 {
+            return self.apply(|member, now| member.read(0, None, now));
+        }
+        match Roster::from_text(&row.value) {
+            Ok(roster) => self.apply(|member, now| member.read(row.version, Some(roster), now)),
+            Err(e) => {
+                Event::RosterRefused.log(format_args!("{e}"));
+                self.note_failure();
+            }
+        }
+    }
+
+    fn note_failure(&self) {
+        self.member.borrow_mut().failed(now());
+    }
+
+    async fn collect_from(self: Rc<Self>, from: Member, roster: Roster) {
+        for page in 0.. {
+            let Some(Ok((records, more))) = self.in_time(self.ask(&from, &roster, page)).await
+            else {
+                return;
+            };
+            if !self.adopt(records, roster.epoch) {
+                return;
+            }
+            if !more {
+                break;
+            }
+        }
+        self.apply(|member, now| member.collected(&from, roster.epoch, now));
+    }
+
+    async fn ask(
+        &self,
+        from: &Member,
+        roster: &Roster,
+        page: u32,
+    ) -> wire::Result<(Vec<Record>, bool)> {
+        let link = self.links.get(from.address).await?;
+        let mut req = link.agent()?.collect_request();
+        let mut params = req.get();
+        params.set_epoch(roster.epoch);
+        params.set_roster(roster.to_text().as_str());
+        params.set_page(page);
+        let me = self.member.borrow().me().clone();
+        write_member(params.init_home(), &me);
+        let res = req.send().promise.await?;
+        let res = res.get()?;
+        let records = res.get_records()?.iter().map(read_record).collect::<wire::Result<_>>()?;
+        Ok((records, res.get_more()))
+    }
+
+    async fn collect_own(self: Rc<Self>, roster: Roster) {
+        let Some(hands) = self.hands.get() else { return };
+        let me = self.member.borrow().me().clone();
+        let epoch = roster.epoch;
+        let ask = HandOver { roster, home: me.clone() };
+        let Ok(records) = hands.runner.send(ask).await else { return };
+        if self.adopt(records, epoch) {
+            self.apply(|member, now| member.collected(&me, epoch, now));
+        }
+    }
+
+    /// Takes records in, unless the roster went on meanwhile.
+    fn adopt(&self, records: Vec<Record>, epoch: u64) -> bool {
+        let current = self.member.borrow().roster().epoch == epoch;
+        if let (true, Some(hands)) = (current, self.hands.get()) {
+            hands.desk.adopt(records, epoch);
+        }
+        current
+    }
+
+    fn settled(&self) {
+        let member = self.member.borrow();
+        let roster = member.roster();
+        let names: Vec<_> = roster.members.iter().map(|m| &*m.name).collect();
+        Event::RosterChanged.log(format_args!("epoch {}: {}", roster.epoch, names.join(" ")));
+        if let Some(hands) = self.hands.get() {
+            hands.desk.drop_moved(|id| member.since(id));
+        }
+    }
+
+    fn reset(&self) {
+        let Some(hands) = self.hands.get() else { return };
+        let me = self.member.borrow().me().clone();
+        hands.desk.drop_moved(|_| None);
+        hands.runner.do_send(Renew(Holder { name: me.name, incarnation: me.incarnation }));
+    }
+
+    async fn in_time<T>(&self, reply: impl Future<Output = T>) -> Option<T> {
+        timeout(self.limit, reply).await.ok()
+    }
+}
--- a/crates/agent/src/peers/mod.rs
+++ b/crates/agent/src/peers/mod.rs
@@ -1,6 +1,10 @@
-//! The other agents of the service: the roster they share through a row of
-//! the platform's table.
+//! The other agents of the service: heartbeats, permits, and the handover of
+//! claims when the roster changes. What is decided stands in the `roster`
+//! crate; here it is carried out.
 
-mod roster;
+mod effects;
+mod homes;
+mod pages;
+mod state;
 
-pub use roster::Peers;
+pub use state::{Hands, Peers};
--- /dev/null
+++ b/crates/agent/src/peers/state.rs
@@ -0,0 +1,176 @@
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix::Addr;
+use base::{Event, Member, now_ms};
+use claim::Record;
+use conf::AgentSettings;
+use plat::Table;
+use roster::{Beat, Effect, Handover, Membership, Now, Roster, Settings};
+use tokio::time::sleep;
+use wire::Links;
+
+use super::pages::Pages;
+use crate::{
+    home::Desk,
+    run::{HandOver, Runner},
+};
+
+/// Heartbeats and reads are due at these steps, a part of a heartbeat.
+const STEPS_A_BEAT: u32 = 10;
+const LEAVE_POLL: Duration = Duration::from_millis(10);
+
+/// This agent's place among the agents of its service.
+pub struct Peers {
+    pub(super) member: RefCell<Membership>,
+    pub(super) row: String,
+    pub(super) table: Rc<dyn Table>,
+    pub(super) links: Links,
+    pub(super) hands: OnceCell<Hands>,
+    pub(super) pages: RefCell<Pages>,
+    /// longest wait for a reply of another agent
+    pub(super) limit: Duration,
+    beat: Duration,
+    state: Cell<State>,
+}
+
+/// What hands over claims and records, and takes them.
+pub struct Hands {
+    pub desk: Rc<Desk>,
+    pub runner: Addr<Runner>,
+}
+
+/// What was last said of this agent's standing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct State {
+    permit: bool,
+    stuck: bool,
+}
+
+impl Peers {
+    pub fn new(me: Member, settings: &AgentSettings, table: Rc<dyn Table>) -> Rc<Self> {
+        let ms = Duration::from_millis;
+        let rules = Settings {
+            beat: ms(settings.heartbeat_ms),
+            lease: ms(settings.lease_ms),
+            suspect: ms(settings.suspect_ms),
+            poll: ms(settings.heartbeat_ms),
+            retention: ms(settings.retention_ms),
+            skew: ms(settings.skew_ms),
+            ..Settings::default()
+        };
+        Rc::new(Self {
+            member: RefCell::new(Membership::new(me, rules, now())),
+            row: Roster::row(&settings.service),
+            table,
+            links: Links::new(settings.token.clone()),
+            hands: OnceCell::new(),
+            pages: RefCell::default(),
+            limit: ms(settings.lease_ms),
+            beat: ms(settings.heartbeat_ms),
+            state: Cell::default(),
+        })
+    }
+
+    /// Joins the roster, and keeps its place for as long as the agent runs.
+    pub fn start(self: &Rc<Self>, hands: Hands) {
+        if self.hands.set(hands).is_ok() {
+            actix::spawn(self.clone().run());
+        }
+    }
+
+    /// A heartbeat of another member; gives the reply.
+    pub fn called(self: &Rc<Self>, beat: &Beat) -> Beat {
+        let (reply, effects) = self.member.borrow_mut().called(beat, now());
+        self.act(effects);
+        reply
+    }
+
+    /// Promises a roster, and gives a page of what its new home must know.
+    /// `None` when the roster went on without it.
+    pub async fn hand_over(
+        self: &Rc<Self>,
+        home: Member,
+        roster: Roster,
+        page: u32,
+    ) -> Option<(Vec<Record>, bool)> {
+        if page == 0 {
+            let records = self.collect(&home, roster).await?;
+            self.pages.borrow_mut().put(home.name.clone(), records);
+        }
+        Some(self.pages.borrow_mut().next(&home.name))
+    }
+
+    /// The document of the roster as it is known here.
+    pub fn document(&self) -> String {
+        self.member.borrow().roster().to_text()
+    }
+
+    /// Hands everything over and leaves the roster, within a time.
+    pub async fn leave(self: &Rc<Self>, limit: Duration) {
+        let end = Instant::now() + limit;
+        self.apply(Membership::leave);
+        while !self.member.borrow().has_left() && Instant::now() < end {
+            sleep(LEAVE_POLL).await;
+        }
+        let left = self.member.borrow().has_left();
+        let how = if left { "left as planned" } else { "could not leave in time" };
+        Event::RosterChanged.log(format_args!("{how}"));
+    }
+
+    /// Feeds the state machine, and does what it asks.
+    pub(super) fn apply(self: &Rc<Self>, input: impl FnOnce(&mut Membership, Now) -> Vec<Effect>) {
+        let effects = input(&mut self.member.borrow_mut(), now());
+        self.act(effects);
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            self.apply(Membership::tick);
+            self.note_state();
+            sleep(self.beat / STEPS_A_BEAT).await;
+        }
+    }
+
+    async fn collect(self: &Rc<Self>, home: &Member, roster: Roster) -> Option<Vec<Record>> {
+        let hands = self.hands.get()?;
+        let (handover, effects) = self.member.borrow_mut().collect(home, &roster, now());
+        let mut records = Vec::new();
+        if handover == Handover::Give {
+            let member = self.member.borrow();
+            records =
+                hands.desk.hand_over(|id, epoch| roster.moves(id, home) && member.owns(id, epoch));
+        }
+        self.act(effects);
+        if handover == Handover::Refuse {
+            return None;
+        }
+        let ask = HandOver { roster, home: home.clone() };
+        records.extend(hands.runner.send(ask).await.ok()?);
+        Some(records)
+    }
+
+    fn note_state(&self) {
+        let member = self.member.borrow();
+        let at = Instant::now();
+        let state = State { permit: member.has_permit(at), stuck: member.is_stuck(at) };
+        let before = self.state.replace(state);
+        let epoch = member.roster().epoch;
+        match (before.permit, state.permit) {
+            (false, true) => Event::PermitBack.log(format_args!("epoch {epoch}")),
+            (true, false) => Event::PermitLost.log(format_args!("epoch {epoch}")),
+            _ => {}
+        }
+        if state.stuck && !before.stuck {
+            Event::RosterStuck
+                .log(format_args!("epoch {epoch}: an operator must confirm the loss"));
+        }
+    }
+}
+
+pub(super) fn now() -> Now {
+    Now { at: Instant::now(), wall_ms: now_ms() }
+}
--- a/crates/agent/src/rpc.rs
+++ b/crates/agent/src/rpc.rs
@@ -11,18 +11,21 @@
     egret_capnp::{
         Stage as WireStage,
         agent::{
-            self, AttachParams, AttachResults, BarParams, BarResults, CancelParams, CancelResults,
-            ClaimParams, ClaimResults, DrainParams, DrainResults, ReleaseParams, ReleaseResults,
+            self, AttachParams, AttachResults, BarParams, BarResults, BeatParams, BeatResults,
+            CancelParams, CancelResults, ClaimParams, ClaimResults, CollectParams, CollectResults,
+            DrainParams, DrainResults, ReleaseParams, ReleaseResults, RosterParams, RosterResults,
             RunParams, RunResults, StatusParams, StatusResults,
         },
         reply,
     },
-    read_claim, read_id, read_ids, read_member, read_task, write_grant, write_load, write_reply,
+    read_beat, read_claim, read_id, read_ids, read_member, read_roster, read_task, write_beat,
+    write_grant, write_load, write_record, write_reply,
 };
 
 use crate::{
     greet::Greeter,
     home::Desk,
+    peers::Peers,
     run::{Attach, Cancel, Drain, Inspect, Offer, Response, Runner, Status},
 };
 
@@ -31,11 +34,12 @@
     runner: Addr<Runner>,
     greeter: Greeter,
     desk: Rc<Desk>,
+    peers: Rc<Peers>,
 }
 
 impl AgentRpc {
-    pub fn new(runner: Addr<Runner>, greeter: Greeter, desk: Rc<Desk>) -> Self {
-        Self { runner, greeter, desk }
+    pub fn new(runner: Addr<Runner>, greeter: Greeter, desk: Rc<Desk>, peers: Rc<Peers>) -> Self {
+        Self { runner, greeter, desk, peers }
     }
 }
 
@@ -139,6 +143,43 @@
         Ok(())
     }
 
+    async fn beat(
+        self: Rc<Self>,
+        params: BeatParams,
+        mut results: BeatResults,
+    ) -> Result<(), Error> {
+        let beat = read_beat(params.get()?.get_beat()?).map_err(fail)?;
+        write_beat(results.get().init_ack(), &self.peers.called(&beat));
+        Ok(())
+    }
+
+    async fn collect(
+        self: Rc<Self>,
+        params: CollectParams,
+        mut results: CollectResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let home = read_member(params.get_home()?).map_err(fail)?;
+        let roster = read_roster(params.get_roster()).map_err(fail)?;
+        let handed = self.peers.hand_over(home, roster, params.get_page()).await;
+        let (records, more) = handed.ok_or_else(|| fail("the roster went on"))?;
+        results.get().set_more(more);
+        let mut to = results.get().init_records(records.len() as u32);
+        for (i, record) in (0..).zip(&records) {
+            write_record(to.reborrow().get(i), record);
+        }
+        Ok(())
+    }
+
+    async fn roster(
+        self: Rc<Self>,
+        _: RosterParams,
+        mut results: RosterResults,
+    ) -> Result<(), Error> {
+        results.get().set_document(self.peers.document().as_str());
+        Ok(())
+    }
+
     async fn drain(
         self: Rc<Self>,
         params: DrainParams,
--- a/crates/agent/src/run/message.rs
+++ b/crates/agent/src/run/message.rs
@@ -1,8 +1,9 @@
-use std::{rc::Rc, time::Instant};
+use std::time::Instant;
 
 use actix::Message;
-use base::{Answer, Task, TaskId};
-use claim::{Claim, Grant, Record, Stage};
+use base::{Answer, Member, Task, TaskId};
+use claim::{Claim, Grant, Holder, Record, Stage};
+use roster::Roster;
 use serde::Deserialize;
 use wire::{Load, Reply};
 
@@ -39,13 +40,20 @@
 #[rtype(result = "Vec<bool>")]
 pub struct Cancel(pub Vec<TaskId>);
 
-/// A new home asks for what it must know of the keys that moved to it.
+/// A new home asks for what it must know of the keys that this roster moves
+/// to it.
 #[derive(Message)]
 #[rtype(result = "Vec<Record>")]
 pub struct HandOver {
-    pub moved: Rc<dyn Fn(&TaskId) -> bool>,
+    pub roster: Roster,
+    pub home: Member,
 }
 
+/// The agent goes on under a new incarnation.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Renew(pub Holder);
+
 /// A backend server announces itself, or renews.
 #[derive(Clone, Debug, Deserialize, Message)]
 #[serde(deny_unknown_fields)]
--- a/crates/agent/src/run/mod.rs
+++ b/crates/agent/src/run/mod.rs
@@ -6,5 +6,7 @@
 mod runner;
 mod waiting;
 
-pub use message::{Announce, Attach, Cancel, Drain, Inspect, Leave, Offer, Response, Status};
+pub use message::{
+    Announce, Attach, Cancel, Drain, HandOver, Inspect, Leave, Offer, Renew, Response, Status,
+};
 pub use runner::{Claims, Runner};
--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -15,7 +15,7 @@
 use super::{
     backend::Backend,
     message::{
-        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Leave, Offer, Released,
+        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Leave, Offer, Released, Renew,
         Response, Status, Word,
     },
     waiting::{Call, Waiting},
@@ -491,8 +491,16 @@
 impl Handler<HandOver> for Runner {
     type Result = MessageResult<HandOver>;
 
-    fn handle(&mut self, HandOver { moved }: HandOver, _: &mut Context<Self>) -> Self::Result {
-        MessageResult(self.records.hand_over(|id| moved(id)))
+    fn handle(&mut self, ask: HandOver, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.records.hand_over(|id| ask.roster.moves(id, &ask.home)))
+    }
+}
+
+impl Handler<Renew> for Runner {
+    type Result = ();
+
+    fn handle(&mut self, Renew(me): Renew, _: &mut Context<Self>) {
+        self.records.renew(me);
     }
 }
 
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -143,6 +143,12 @@
     pub queue: QueueKind,
     /// how often entries are greeted, milliseconds
     pub beat_ms: u64,
+    /// between two heartbeats to the same agent, milliseconds
+    pub heartbeat_ms: u64,
+    /// how long acknowledged heartbeats let an agent act as home, milliseconds
+    pub lease_ms: u64,
+    /// an agent that leaves heartbeats unanswered for this long is lost, milliseconds
+    pub suspect_ms: u64,
     /// a backend server that has not renewed for this long is gone, milliseconds
     pub renew_ms: u64,
     /// how long a claim and an answer are remembered, milliseconds
@@ -171,6 +177,9 @@
             connections: 64,
             queue: QueueKind::default(),
             beat_ms: 500,
+            heartbeat_ms: 1500,
+            lease_ms: 5000,
+            suspect_ms: 4000,
             renew_ms: 3000,
             retention_ms: RETENTION_MS,
             skew_ms: SKEW_MS,
@@ -194,6 +203,9 @@
         at_least("slots", self.slots.into(), 1, &mut faults);
         at_least("connections", self.connections.into(), self.slots.into(), &mut faults);
         at_least("beat_ms", self.beat_ms, 50, &mut faults);
+        at_least("heartbeat_ms", self.heartbeat_ms, 50, &mut faults);
+        at_least("lease_ms", self.lease_ms, 3 * self.heartbeat_ms, &mut faults);
+        at_least("suspect_ms", self.suspect_ms, 2 * self.heartbeat_ms, &mut faults);
         at_least("renew_ms", self.renew_ms, 200, &mut faults);
         at_least("retention_ms", self.retention_ms, LEAST_RETENTION_MS, &mut faults);
         at_least("records", self.records as u64, 100, &mut faults);
--- a/crates/entry/src/fleet/rosters.rs
+++ b/crates/entry/src/fleet/rosters.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     sync::{Arc, PoisonError, RwLock},
     time::Duration,
@@ -9,6 +10,7 @@
 use plat::Table;
 use roster::Roster;
 use tokio::time::sleep;
+use wire::{AgentInfo, Links, read_roster};
 
 use super::Current;
 
@@ -27,8 +29,7 @@
 
     /// Takes a newer document; an older one is left aside.
     pub fn offer(&self, service: &Name, roster: Roster) {
-        let rank = |r: &Roster| (r.epoch, r.settled);
-        if rank(&self.get(service)) >= rank(&roster) {
+        if self.get(service).change >= roster.change {
             return;
         }
         let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
@@ -45,6 +46,13 @@
         }
     }
 
+    /// Asks an agent that knows a newer roster, as when the table is down.
+    pub async fn learn(self: Arc<Self>, links: Rc<Links>, agent: AgentInfo) {
+        if let Ok(roster) = ask(&links, agent.address).await {
+            self.offer(&agent.service, roster);
+        }
+    }
+
     async fn read(&self, table: &dyn Table, service: &Name) {
         let Ok(row) = table.get(&Roster::row(service)).await else { return };
         if let Ok(roster) = serde_json::from_str(&row.value) {
@@ -52,3 +60,9 @@
         }
     }
 }
+
+async fn ask(links: &Links, agent: SocketAddr) -> wire::Result<Roster> {
+    let link = links.get(agent).await?;
+    let res = link.agent()?.roster_request().send().promise.await?;
+    read_roster(res.get()?.get_document())
+}
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use capnp::Error;
 use wire::{
+    Links,
     egret_capnp::entry::{self, GreetParams, GreetResults},
     read_info,
 };
@@ -11,11 +12,13 @@
 /// What agents may ask of this entry.
 pub struct EntryRpc {
     shared: Shared,
+    links: Rc<Links>,
 }
 
 impl EntryRpc {
     pub fn new(shared: Shared) -> Self {
-        Self { shared }
+        let links = Rc::new(Links::new(shared.settings.token.clone()));
+        Self { shared, links }
     }
 }
 
@@ -31,6 +34,10 @@
         if params.has_document() {
             self.shared.fleet.offer(theirs, params.get_document()?.to_str()?);
         }
+        if info.epoch > self.shared.rosters.get(&info.service).epoch {
+            let rosters = self.shared.rosters.clone();
+            actix::spawn(rosters.learn(self.links.clone(), info.clone()));
+        }
         self.shared.agents.heard(info);
         let snapshot = self.shared.fleet.get();
         let mut results = results.get();
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -107,6 +107,9 @@
             "platform": format!("http://127.0.0.1:{}", self.platform_port),
             "token": TOKEN,
             "beat_ms": 100,
+            "heartbeat_ms": 150,
+            "lease_ms": 1000,
+            "suspect_ms": 800,
         });
         self.start_with("egret-agent", &format!("agent-{i}"), &settings)
     }
--- a/crates/roster/src/document.rs
+++ b/crates/roster/src/document.rs
@@ -4,7 +4,7 @@
 use claim::Tenure;
 use serde::{Deserialize, Serialize};
 
-use crate::{Homes, home};
+use crate::{Error, Homes, Result, home};
 
 /// The roster of a service, as its row in the platform's table holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +60,18 @@
         format!("roster/{service}")
     }
 
+    /// The document as the row and messages carry it.
+    pub fn to_text(&self) -> String {
+        // no field of it can fail to be written
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// # Errors
+    /// When the text is no such document.
+    pub fn from_text(text: &str) -> Result<Self> {
+        serde_json::from_str(text).map_err(|e| Error::Malformed(e.to_string()))
+    }
+
     /// Whether this life of this member is listed.
     pub fn lists(&self, member: &Member) -> bool {
         find(&self.members, member)
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -27,11 +27,13 @@
 pub use membership::{Handover, Membership};
 pub use settings::{Rule, Settings};
 
-/// What can go wrong with a change of a roster that an operator asks for.
+/// What can go wrong with the document of a roster.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     #[error("a loss is confirmed with a written reason")]
     NoReason,
+    #[error("roster can't be read: {0}")]
+    Malformed(String),
     #[error("{0} is not a member of the roster")]
     NotListed(Name),
 }
--- a/crates/roster/src/membership.rs
+++ b/crates/roster/src/membership.rs
@@ -146,6 +146,13 @@
             && (!old || self.has_majority(&self.roster.base, now))
     }
 
+    /// Whether more members are lost than the rest may replace by themselves.
+    pub fn is_stuck(&self, now: Instant) -> bool {
+        let limit = self.settings.suspect;
+        let lost = self.others().iter().any(|m| self.contacts.is_silent(m, limit, now));
+        self.is_listed() && lost && self.lost(now).is_empty()
+    }
+
     /// Time passes: heartbeats, reads, and whatever became due.
     pub fn tick(&mut self, now: Now) -> Vec<Effect> {
         if now.at.duration_since(self.last_tick) > self.settings.suspect / 2 {
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -130,10 +130,15 @@
 }
 
 struct Beat {
-  from @0 :Member;
-  epoch @1 :UInt64;
-  promised @2 :UInt64;
-  settled @3 :UInt64;
+  from @0 :Text;
+  incarnation @1 :UInt64;
+  to @2 :UInt64;         # incarnation of the receiver that is meant
+  epoch @3 :UInt32;      # roster that the sender promised
+  change @4 :UInt32;     # write of the roster's row that the sender knows
+  ready @5 :UInt32;      # newest epoch whose records the sender holds
+  stamp @6 :UInt64;      # when it was sent, on the sender's own clock
+  echo @7 :UInt64;       # newest stamp heard from the receiver
+  roster @8 :Text;       # the document, for a receiver that is behind
 }
 
 interface Gate {
@@ -164,8 +169,11 @@
   bar @6 (epoch :UInt64, claim :Claim, look :Bool) -> (grant :Grant);
   # Between members of a roster.
   beat @7 (beat :Beat) -> (ack :Beat);
-  # Promise an epoch, and hand over the records whose home is the caller.
-  collect @8 (epoch :UInt64, home :Member) -> (records :List(Record), more :Bool);
+  # Promise an epoch, and hand over the records whose home the caller becomes,
+  # page by page.
+  collect @8 (epoch :UInt64, home :Member, roster :Text, page :UInt32) -> (records :List(Record), more :Bool);
   # From an operator through an entry.
   drain @9 (on :Bool) -> (load :Load);
+  # From an entry that is behind: the roster of a service as it is known here.
+  roster @10 () -> (document :Text);
 }
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -4679,7 +4679,7 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::egret_capnp::member::Reader<'a>> {
+        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
@@ -4687,22 +4687,46 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_epoch(self) -> u64 {
+        pub fn get_incarnation(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_promised(self) -> u64 {
+        pub fn get_to(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_settled(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_epoch(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_change(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_ready(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_stamp(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4753,44 +4777,92 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_from(self) -> ::capnp::Result<crate::egret_capnp::member::Builder<'a>> {
+        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_from(&mut self, value: crate::egret_capnp::member::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_from(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_from(self, ) -> crate::egret_capnp::member::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_from(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
         pub fn has_from(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_epoch(self) -> u64 {
+        pub fn get_incarnation(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_epoch(&mut self, value: u64)  {
+        pub fn set_incarnation(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_promised(self) -> u64 {
+        pub fn get_to(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_promised(&mut self, value: u64)  {
+        pub fn set_to(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_settled(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_epoch(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_settled(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_epoch(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_change(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_change(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_ready(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_ready(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_stamp(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_stamp(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_echo(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_roster(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_roster(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
     }
 
@@ -4801,66 +4873,107 @@
         }
     }
     impl Pipeline  {
-        pub fn get_from(&self) -> crate::egret_capnp::member::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 101, 25, 254, 180, 225, 97, 177),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 198, 251, 68, 38, 26, 169, 142),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4868,8 +4981,31 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 109, 105, 115, 101, 100),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 100, 121, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 109, 112, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4877,7 +5013,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 116, 116, 108, 101, 100, 0),
+            ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4885,13 +5021,26 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::egret_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4905,9 +5054,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,7,3,0,1,5,8,6,2];
         pub(crate) const TYPE_ID: u64 = 0xb161_e1b4_fe19_652e;
     }
 }
@@ -6145,6 +6294,8 @@
     pub type CollectResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::collect_results::Owned>;
     pub type DrainParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::drain_params::Owned>;
     pub type DrainResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::drain_results::Owned>;
+    pub type RosterParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::roster_params::Owned>;
+    pub type RosterResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::roster_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -6224,6 +6375,9 @@
         pub fn drain_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::drain_params::Owned,crate::egret_capnp::agent::drain_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
         }
+        pub fn roster_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::roster_params::Owned,crate::egret_capnp::agent::roster_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::run not implemented".to_string()))) }
@@ -6236,6 +6390,7 @@
         fn beat(self: ::capnp::capability::Rc<Self>, _: BeatParams<>, _: BeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::beat not implemented".to_string()))) }
         fn collect(self: ::capnp::capability::Rc<Self>, _: CollectParams<>, _: CollectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::collect not implemented".to_string()))) }
         fn drain(self: ::capnp::capability::Rc<Self>, _: DrainParams<>, _: DrainResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::drain not implemented".to_string()))) }
+        fn roster(self: ::capnp::capability::Rc<Self>, _: RosterParams<>, _: RosterResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::roster not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -6275,6 +6430,7 @@
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::beat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::collect(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::drain(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::roster(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -10009,11 +10165,23 @@
             pub fn has_home(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_roster(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_roster(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_page(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -10087,6 +10255,30 @@
             pub fn has_home(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_roster(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_roster(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_roster(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_roster(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_page(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_page(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10101,17 +10293,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(219, 88, 57, 89, 248, 53, 88, 150),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
@@ -10119,21 +10311,35 @@
                 ::capnp::word(116, 46, 99, 111, 108, 108, 101, 99),
                 ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10150,11 +10356,29 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 103, 101, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::egret_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10168,9 +10392,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,3,2];
             pub(crate) const TYPE_ID: u64 = 0x9658_35f8_5939_58db;
         }
     }
@@ -10819,4 +11043,377 @@
             pub(crate) const TYPE_ID: u64 = 0xf777_7b8c_30ab_db5e;
         }
     }
+
+    pub mod roster_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(252, 169, 165, 0, 185, 80, 252, 201),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
+                ::capnp::word(116, 46, 114, 111, 115, 116, 101, 114),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xc9fc_50b9_00a5_a9fc;
+        }
+    }
+
+    pub mod roster_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_document(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_document(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_document(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_document(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_document(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_document(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(5, 105, 10, 99, 86, 76, 126, 199),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
+                ::capnp::word(116, 46, 114, 111, 115, 116, 101, 114),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc77e_4c56_630a_6905;
+        }
+    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! typed messages that the rest of the code works with.
 
 mod answer;
+mod beat;
 mod claim;
 mod door;
 #[allow(clippy::all, clippy::unimplemented, clippy::wildcard_imports)]
@@ -16,6 +17,7 @@
 mod traffic;
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
+pub use beat::{read_beat, read_roster, write_beat};
 pub use claim::{
     read_claim, read_grant, read_ids, read_member, read_record, write_claim, write_grant,
     write_member, write_record,
