--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -4,6 +4,7 @@
 mod balancer;
 mod fleet;
 mod process;
+mod roster;
 mod tool;
 
 pub use balancer::Balancer;
--- a/crates/roster/src/change.rs
+++ b/crates/roster/src/change.rs
@@ -12,6 +12,15 @@
     pub lost: Vec<Member>,
 }
 
+/// What is known of the only member of a roster that grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Solo {
+    /// it may have granted claims to itself
+    Granted,
+    /// it granted none, and will not before this change is settled
+    Silent,
+}
+
 impl Roster {
     /// The first roster, or the first after an empty one.
     pub fn found(&self, founder: &Member) -> Self {
@@ -56,7 +65,7 @@
     }
 
     /// This roster, settled at a moment: every new home holds the records.
-    pub fn settle(&self, wall_ms: u64, settings: &Settings) -> Self {
+    pub fn settle(&self, wall_ms: u64, solo: Solo, settings: &Settings) -> Self {
         let keep_ms = (settings.retention + 2 * settings.skew).as_millis() as u64;
         let recent = |at_ms: u64| at_ms + keep_ms > wall_ms;
         let mut marks: Vec<_> = self.marks.iter().filter(|m| recent(m.at_ms)).copied().collect();
@@ -67,7 +76,8 @@
         if self.lost().count() > 0 {
             losses.push(Mark { epoch: self.epoch, at_ms: wall_ms });
         }
-        let thinned_ms = if self.is_thinned(settings) { Some(wall_ms) } else { self.thinned_ms };
+        let thinned_ms =
+            if self.is_thinned(solo, settings) { Some(wall_ms) } else { self.thinned_ms };
         Self {
             settled: true,
             base: Vec::new(),
@@ -109,9 +119,10 @@
     }
 
     /// Whether records have one copy less than before.
-    fn is_thinned(&self, settings: &Settings) -> bool {
+    fn is_thinned(&self, solo: Solo, settings: &Settings) -> bool {
         let left = !self.leaving.is_empty() && settings.keeps(Rule::Leave);
-        let alone = self.base.len() == 1 && settings.keeps(Rule::Lone);
+        let granted = solo == Solo::Granted && settings.keeps(Rule::Lone);
+        let alone = self.base.len() == 1 && granted;
         self.lost().count() > 0 || left || alone
     }
 }
--- a/crates/roster/src/document.rs
+++ b/crates/roster/src/document.rs
@@ -82,6 +82,10 @@
         if self.settled {
             return self.members.clone();
         }
+        // a home that was alone grants nothing until the others are in
+        if self.base.len() == 1 {
+            return Vec::new();
+        }
         self.members.iter().filter(|m| find(&self.base, m)).cloned().collect()
     }
 
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -19,7 +19,7 @@
 use base::Name;
 
 pub use beat::Beat;
-pub use change::Proposal;
+pub use change::{Proposal, Solo};
 pub use document::{Confirmed, Mark, Roster};
 pub use effect::{Effect, Now};
 pub use home::home;
--- a/crates/roster/src/membership.rs
+++ b/crates/roster/src/membership.rs
@@ -1,10 +1,13 @@
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use base::{Event, Member, Name, TaskId, invariant};
 use claim::Tenure;
 
 use crate::{
-    Beat, Effect, Mark, Now, Proposal, Roster, Rule, Settings,
+    Beat, Effect, Mark, Now, Proposal, Roster, Rule, Settings, Solo,
     contacts::Contacts,
     document::find,
     history::History,
@@ -33,6 +36,8 @@
     /// when the unsettled roster was learnt, wall clock
     learnt_ms: u64,
     ready_since: Option<Instant>,
+    /// what this member did while it was alone in the roster
+    solo: Cell<Solo>,
     last_tick: Instant,
     effects: Vec<Effect>,
 }
@@ -82,6 +87,7 @@
             row: RowState::default(),
             learnt_ms: now.wall_ms,
             ready_since: None,
+            solo: Cell::new(Solo::Silent),
             last_tick: now.at,
             effects: Vec::new(),
         }
@@ -113,6 +119,9 @@
         let Some(since) = self.since(id) else {
             return Tenure::NotHome { epoch };
         };
+        if self.roster.members.len() == 1 {
+            self.solo.set(Solo::Granted);
+        }
         let since = if self.settings.keeps(Rule::Tenure) { since } else { 1 };
         let marks = &self.roster.marks;
         let unsure_before = self.newest(marks, since).map(|at_ms| at_ms + self.skew_ms());
@@ -559,7 +568,7 @@
         if self.can_settle(now.at) {
             let time = self.settings.keeps(Rule::MarkTime);
             let wall_ms = if time { now.wall_ms } else { self.learnt_ms };
-            return Some(self.roster.settle(wall_ms, &self.settings));
+            return Some(self.roster.settle(wall_ms, self.solo(), &self.settings));
         }
         let nobody =
             self.roster.epoch == 0 || (self.roster.settled && self.roster.members.is_empty());
@@ -569,6 +578,12 @@
         self.proposal(now.at).map(|p| self.roster.propose(&p, &self.settings))
     }
 
+    /// Only the member itself knows what it did alone.
+    fn solo(&self) -> Solo {
+        let [alone] = &self.roster.base[..] else { return Solo::Silent };
+        if alone.same_life(&self.me) { self.solo.get() } else { Solo::Granted }
+    }
+
     /// Every member of the new roster is ready; the first listed settles it,
     /// the others only if it doesn't.
     fn can_settle(&self, now: Instant) -> bool {
