--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -24,9 +24,11 @@
     http,
     peers::{Hands, Peers},
     rpc::AgentRpc,
-    run::{Claims, Drain, Inspect, Runner},
+    run::{Claims, Drain, Inspect, Limits, Runner},
 };
 
+/// How soon new limits are kept to.
+const LIMITS_POLL: Duration = Duration::from_millis(200);
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Longest wait at a stop for homes to hear of claims given up.
 const RELEASE_LIMIT: Duration = Duration::from_secs(5);
@@ -66,13 +68,14 @@
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     actix::spawn(wire::serve(listener, door));
     peers.start(Hands { desk, runner: runner.clone() });
-    let server = http::start(&settings, runner.clone(), fleet)?;
+    let server = http::start(&settings, runner.clone(), fleet.clone())?;
     greeter.start();
+    actix::spawn(follow_limits(settings.clone(), fleet.clone(), runner.clone()));
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
 
     stop_signal().await;
     Event::Stopping.log(format_args!("{}", settings.name));
-    runner.do_send(Drain::On);
+    runner.do_send(Drain::Stop);
     greeter.greet_now().await;
     idle(&runner, &claimer).await;
     peers.leave(LEAVE_LIMIT).await;
@@ -81,6 +84,24 @@
     Ok(())
 }
 
+/// Keeps to the limits of the fleet configuration, where they are lower than
+/// those of the settings.
+async fn follow_limits(settings: Rc<AgentSettings>, fleet: Arc<Current>, runner: Addr<Runner>) {
+    let mut version = 0;
+    loop {
+        let snapshot = fleet.get();
+        if snapshot.version > version {
+            version = snapshot.version;
+            let values = snapshot.fleet.effective(&settings.service);
+            let slots = settings.slots.min(values.slots as u32);
+            let connections = settings.connections.min(values.connections as u32);
+            // each running task takes a connection
+            runner.do_send(Limits { slots: slots.min(connections), connections });
+        }
+        sleep(LIMITS_POLL).await;
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })
 }
--- a/crates/agent/src/run/backend.rs
+++ b/crates/agent/src/run/backend.rs
@@ -39,6 +39,11 @@
         Self { client, agent }
     }
 
+    /// The same backend server over another number of connections.
+    pub fn resized(&self, connections: u32) -> Self {
+        Self::new(connections, self.agent.clone())
+    }
+
     /// Runs a task to its end. The word `not-run` is only used when nothing
     /// was sent to the backend server.
     pub async fn run(self, url: String, task: Task) -> Answer {
--- a/crates/agent/src/run/message.rs
+++ b/crates/agent/src/run/message.rs
@@ -79,6 +79,16 @@
 pub enum Drain {
     On,
     Off,
+    /// the process stops; nothing takes that back
+    Stop,
+}
+
+/// What the fleet configuration lets the backend server take at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Message)]
+#[rtype(result = "()")]
+pub struct Limits {
+    pub slots: u32,
+    pub connections: u32,
 }
 
 /// Asks how busy the agent is.
@@ -86,6 +96,20 @@
 #[rtype(result = "Load")]
 pub struct Inspect;
 
+/// Asks how much is remembered.
+#[derive(Message)]
+#[rtype(result = "Kept")]
+pub struct Remembered;
+
+/// What the agent remembers, as home and as executor.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Kept {
+    pub claims: usize,
+    pub claim_bytes: usize,
+    pub records: usize,
+    pub record_bytes: usize,
+}
+
 /// The home's word on a claim; none came in time when it is `None`.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/run/mod.rs
+++ b/crates/agent/src/run/mod.rs
@@ -7,6 +7,7 @@
 mod waiting;
 
 pub use message::{
-    Announce, Attach, Cancel, Drain, HandOver, Inspect, Leave, Offer, Renew, Response, Status,
+    Announce, Attach, Cancel, Drain, HandOver, Inspect, Kept, Leave, Limits, Offer, Remembered,
+    Renew, Response, Status,
 };
 pub use runner::{Claims, Runner};
--- a/crates/agent/src/run/runner.rs
+++ b/crates/agent/src/run/runner.rs
@@ -15,8 +15,8 @@
 use super::{
     backend::Backend,
     message::{
-        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Leave, Offer, Released, Renew,
-        Response, Status, Word,
+        Announce, Attach, Cancel, Drain, Ended, HandOver, Inspect, Kept, Leave, Limits, Offer,
+        Released, Remembered, Renew, Response, Status, Word,
     },
     waiting::{Call, Waiting},
 };
@@ -488,6 +488,19 @@
     }
 }
 
+impl Handler<Remembered> for Runner {
+    type Result = MessageResult<Remembered>;
+
+    fn handle(&mut self, _: Remembered, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(Kept {
+            claims: self.desk.len(),
+            claim_bytes: self.desk.bytes(),
+            records: self.records.len(),
+            record_bytes: self.records.bytes(),
+        })
+    }
+}
+
 impl Handler<HandOver> for Runner {
     type Result = MessageResult<HandOver>;
 
@@ -550,7 +563,20 @@
     type Result = ();
 
     fn handle(&mut self, drain: Drain, _: &mut Context<Self>) {
-        self.drain = drain;
+        if self.drain != Drain::Stop {
+            self.drain = drain;
+        }
+    }
+}
+
+impl Handler<Limits> for Runner {
+    type Result = ();
+
+    fn handle(&mut self, limits: Limits, ctx: &mut Context<Self>) {
+        self.slots = limits.slots as usize;
+        self.queue.resize(self.slots);
+        self.backend = self.backend.resized(limits.connections);
+        self.fill(ctx);
     }
 }
 
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -54,6 +54,8 @@
     PermitBack = 525 Info "permit held again"
     AgentEjected = 600 Warn "agent left out: nearly all of its runs fail"
     AgentBackIn = 601 Info "agent no longer left out"
+    CountsDown = 700 Warn "counts for the burn report can't be written"
+    CountsBack = 701 Info "counts for the burn report are written again"
 }
 
 impl Event {
--- a/crates/pick/src/expected.rs
+++ b/crates/pick/src/expected.rs
@@ -4,8 +4,8 @@
 
 use crate::{Candidates, Policy, View, policy::any};
 
-/// Largest failing share that counts; beyond it an agent is ejected anyway.
-const MAX_FAILING: f64 = 0.9;
+/// Cost of an agent all of whose runs fail; it grows with the square of the share.
+const FAILING_COST: Duration = Duration::from_secs(1);
 /// Run time assumed of an agent that has reported none.
 const UNKNOWN_MEAN: Duration = Duration::from_millis(1);
 
@@ -16,11 +16,13 @@
     pub samples: usize,
     /// weight of the run time there, against a weight of 1 for the wait
     pub run_weight: f64,
+    /// chance that another entry takes a free slot first, 0 to 1
+    pub risk: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { samples: 12, run_weight: 0.25 }
+        Self { samples: 12, run_weight: 0.02, risk: 0.6 }
     }
 }
 
@@ -39,8 +41,15 @@
     /// Cost of a candidate in seconds.
     fn cost(&self, view: &View) -> f64 {
         let run = view.mean.as_secs_f64() * self.settings.run_weight;
-        let cost = view.expected_wait().as_secs_f64() + run + view.distance.as_secs_f64();
-        cost / (1.0 - view.failing.min(MAX_FAILING))
+        let wait = view.expected_wait().max(self.collision(view));
+        let cost = wait.as_secs_f64() + run + view.distance.as_secs_f64();
+        cost + FAILING_COST.as_secs_f64() * view.failing * view.failing
+    }
+
+    /// Wait to expect from other entries that take the last free slots.
+    fn collision(&self, view: &View) -> Duration {
+        let spare = view.free.saturating_sub(view.unreported).min(32);
+        (view.mean / view.slots.max(1)).mul_f64(self.settings.risk.powi(spare as i32))
     }
 
     /// The cheapest of some candidates that are open.
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -90,6 +90,7 @@
             "poll_ms": 200,
             "warm_ms": 400,
             "unready_ms": 100,
+            "counts_ms": 1000,
         });
         self.start_with("egret-entry", &format!("entry-{i}"), &settings)
     }
@@ -128,16 +129,7 @@
 
     /// Sends a request or a job through an entry.
     pub async fn send(&self, entry: usize, kind: &str, body: &Value) -> Sent {
-        let url = format!("http://127.0.0.1:{}/v1/ledger/{kind}", self.entry_ports[entry]);
-        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
-        match client.post(url).send_json(body).await {
-            Ok(mut res) => {
-                let status = res.status().as_u16();
-                let bytes = res.body().limit(16 << 20).await.unwrap_or_default();
-                Sent { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) }
-            }
-            Err(_) => Sent { status: 0, body: Value::Null },
-        }
+        send(self.entry_ports[entry], kind, body).await
     }
 
     /// Asks an entry how far a key has come.
@@ -196,9 +188,14 @@
 
     /// The start log of one backend server; empty when it doesn't answer.
     pub async fn starts_at(&self, i: usize) -> Vec<Start> {
+        self.starts_seen(i).await.unwrap_or_default()
+    }
+
+    /// The start log of one backend server; `None` when it doesn't answer.
+    pub async fn starts_seen(&self, i: usize) -> Option<Vec<Start>> {
         let url = format!("http://127.0.0.1:{}/admin/starts", self.backend_ports[i]);
-        let Some(bytes) = fetch(&url).await else { return Vec::new() };
-        serde_json::from_slice(&bytes).expect("starts can be read")
+        let bytes = fetch(&url).await?;
+        Some(serde_json::from_slice(&bytes).expect("starts can be read"))
     }
 
     /// Waits until every agent is ready and every entry can place work.
@@ -234,6 +231,20 @@
     }
 }
 
+/// Sends a request or a job to a port of an entry.
+pub async fn send(port: u16, kind: &str, body: &Value) -> Sent {
+    let url = format!("http://127.0.0.1:{port}/v1/ledger/{kind}");
+    let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+    match client.post(url).send_json(body).await {
+        Ok(mut res) => {
+            let status = res.status().as_u16();
+            let bytes = res.body().limit(16 << 20).await.unwrap_or_default();
+            Sent { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) }
+        }
+        Err(_) => Sent { status: 0, body: Value::Null },
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.folder);
--- a/crates/queue/src/classed.rs
+++ b/crates/queue/src/classed.rs
@@ -185,6 +185,10 @@
         self.take(ticket).map(|waiting| waiting.item)
     }
 
+    fn resize(&mut self, slots: usize) {
+        self.settings.slots = slots;
+    }
+
     fn end(&mut self, run: RunKey, ran: Option<Duration>) {
         let Some(running) = self.running.remove(run) else { return };
         if let Some(ran) = ran {
--- a/crates/queue/src/discipline.rs
+++ b/crates/queue/src/discipline.rs
@@ -70,6 +70,9 @@
     /// Takes a task out that has not started.
     fn remove(&mut self, ticket: Ticket) -> Option<T>;
 
+    /// Changes how many tasks may run at once; what runs goes on.
+    fn resize(&mut self, slots: usize);
+
     /// Frees a slot; `ran` is the run time to learn from, if there is one.
     fn end(&mut self, run: RunKey, ran: Option<Duration>);
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,7 +27,7 @@
 pub use link::{Link, dial, serve};
 pub use links::Links;
 pub use task::{read_id, read_task, write_id, write_task};
-pub use traffic::Traffic;
+pub use traffic::{Frames, Traffic};
 
 /// Version of the protocol; peers with another one are refused.
 pub const PROTOCOL: u16 = 1;
