--- a/crates/roster/src/document.rs
+++ b/crates/roster/src/document.rs
@@ -4,7 +4,7 @@
 use claim::Tenure;
 use serde::{Deserialize, Serialize};
 
-use crate::{Homes, home};
+use crate::{Error, Homes, Result, home};
 
 /// The roster of a service, as its row in the platform's table holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,26 +15,30 @@
     pub members: Vec<Member>,
     /// every new home holds the records of its keys
     pub settled: bool,
-    /// members of the last settled roster, while this one is not settled
+    /// the settled roster that this one replaces
+    pub base_epoch: u64,
+    /// its members, while this one is not settled
     pub base: Vec<Member>,
     /// members of `base` that leave as planned and hand over first
     pub leaving: Vec<Member>,
-    /// what nobody may remember
+    /// keys issued before may have run with nobody left who remembers
     pub marks: Vec<Mark>,
+    /// changes that followed a loss; what the lost had barred is forgotten
+    pub losses: Vec<Mark>,
     /// when the records of a member last went away, unix milliseconds
     pub thinned_ms: Option<u64>,
     /// losses that an operator vouches for
     pub confirmed: Option<Confirmed>,
-    /// number of the write that made this document
+    /// counts the writes of the row
     pub change: u64,
 }
 
-/// Keys issued before this may have run with nobody left who remembers.
+/// A change, and when it settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mark {
     pub epoch: u64,
-    /// when the change settled, unix milliseconds
+    /// unix milliseconds
     pub at_ms: u64,
 }
 
@@ -56,21 +60,65 @@
         format!("roster/{service}")
     }
 
+    /// The document as the row and messages carry it.
+    pub fn to_text(&self) -> String {
+        // no field of it can fail to be written
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// # Errors
+    /// When the text is no such document.
+    pub fn from_text(text: &str) -> Result<Self> {
+        serde_json::from_str(text).map_err(|e| Error::Malformed(e.to_string()))
+    }
+
     /// Whether this life of this member is listed.
     pub fn lists(&self, member: &Member) -> bool {
         find(&self.members, member)
     }
 
-    /// Members with the settled rights of one: they may be granted claims.
+    /// Members that may be granted claims: those of a settled roster.
     pub fn executors(&self) -> Vec<Member> {
         if self.settled {
             return self.members.clone();
         }
+        // a home that was alone grants nothing until the others are in
+        if self.base.len() == 1 {
+            return Vec::new();
+        }
         self.members.iter().filter(|m| find(&self.base, m)).cloned().collect()
     }
+
+    /// Members that must hand over their records before this roster settles.
+    pub fn sources(&self) -> impl Iterator<Item = &Member> {
+        let stays = |m: &&Member| self.lists(m) || find(&self.leaving, m);
+        self.base.iter().filter(stays)
+    }
+
+    /// Members of `base` that are gone without a handover.
+    pub fn lost(&self) -> impl Iterator<Item = &Member> {
+        let gone = |m: &&Member| !self.lists(m) && !find(&self.leaving, m);
+        self.base.iter().filter(gone)
+    }
+
+    /// Whether this change makes another member the home of a key.
+    pub fn moves(&self, id: &TaskId, to: &Member) -> bool {
+        let is_home = |list| home(list, id).is_some_and(|h: &Member| h.same_life(to));
+        is_home(&self.members) && !is_home(&self.base)
+    }
+
+    /// Whether this member becomes home of keys that another one held.
+    pub fn gains(&self, member: &Member) -> bool {
+        let named = |name: &Name| self.members.iter().any(|m| m.name == *name);
+        !find(&self.base, member) || self.base.iter().any(|m| !named(&m.name))
+    }
 }
 
 impl Homes for Roster {
+    fn me(&self) -> Option<Member> {
+        None
+    }
+
     fn home(&self, id: &TaskId) -> Option<Member> {
         home(&self.members, id).cloned()
     }
@@ -91,5 +139,5 @@
 
 /// Whether a list has this life of this member.
 pub(crate) fn find(list: &[Member], member: &Member) -> bool {
-    list.iter().any(|m| m.name == member.name && m.incarnation == member.incarnation)
+    list.iter().any(|m| m.same_life(member))
 }
