--- a/crates/agent/src/run/mod.rs
+++ b/crates/agent/src/run/mod.rs
@@ -7,6 +7,7 @@
 mod waiting;
 
 pub use message::{
-    Announce, Attach, Cancel, Drain, Inspect, Leave, Limits, Offer, Response, Status,
+    Announce, Attach, Cancel, Drain, Inspect, Kept, Leave, Limits, Offer, Remembered, Response,
+    Status,
 };
 pub use runner::{Claims, Runner};
