Tests of entries that come and go, and of settings checked whole

Change: process tests agents_learn_of_further_entries and settings_are_checked_whole; rows of gone entries and the bound on their lives in conf.

--- a/crates/conf/tests/fleet.rs
+++ b/crates/conf/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use conf::{Change, Current, Error, Fleet, HISTORY, parse};
+use conf::{Change, Current, EntryRow, Error, Fleet, HISTORY, Life, parse};
 use serde_json::{Value, json};
 
 macro_rules! refused {
@@ -84,3 +84,24 @@
     let snapshot = current.get();
     assert_eq!((snapshot.version, snapshot.fleet.defaults.slots), (5, Some(5)));
 }
+
+#[test]
+fn rows_of_gone_entries_age_out() {
+    let address = "127.0.0.1:7200".parse().expect("it is an address");
+    let row = EntryRow { http: address, rpc: address, seen_ms: 1_000_000, lives: Vec::new() };
+    assert!(row.is_live(1_000_000 + EntryRow::REFRESH_MS));
+    assert!(!row.is_live(1_000_000 + 5 * EntryRow::REFRESH_MS));
+}
+
+#[test]
+fn lives_of_an_entry_are_bounded() {
+    let address = "127.0.0.1:7200".parse().expect("it is an address");
+    let mut row = EntryRow { http: address, rpc: address, seen_ms: 0, lives: Vec::new() };
+    let day_ms = 24 * 3_600_000;
+    for incarnation in 0..200 {
+        row.begin(Life { incarnation, started_ms: day_ms + incarnation });
+    }
+    assert_eq!(row.lives.len(), 50);
+    row.begin(Life { incarnation: 200, started_ms: 3 * day_ms });
+    assert_eq!(row.lives.len(), 1);
+}
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -171,6 +171,20 @@
         versions
     }
 
+    /// A figure of the metrics page of an entry or agent.
+    pub async fn figure(&self, port: u16, name: &str) -> Option<u64> {
+        let page = fetch(&format!("http://127.0.0.1:{port}/metrics")).await?;
+        figure(&String::from_utf8_lossy(&page), name)
+    }
+
+    /// Starts one more entry, which no settings name.
+    pub fn add_entry(&mut self) {
+        self.entry_ports.push(free_port());
+        self.entry_rpc_ports.push(free_port());
+        let entry = self.start_entry(self.entries.len());
+        self.entries.push(entry);
+    }
+
     /// How often each task was started, over all backend servers that answer.
     pub async fn starts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
--- a/crates/proof/src/tool.rs
+++ b/crates/proof/src/tool.rs
@@ -2,7 +2,7 @@
 
 use crate::process::program_path;
 
-/// A run of `egretctl` that has been started.
+/// A run of one of our programs that ends by itself.
 pub struct Tool {
     child: Child,
 }
@@ -16,15 +16,20 @@
 }
 
 impl Tool {
+    /// Starts `egretctl`.
     pub fn start(args: &[String]) -> Self {
-        let mut command = Command::new(program_path("egretctl"));
+        Self::start_program("egretctl", args)
+    }
+
+    pub fn start_program(program: &str, args: &[String]) -> Self {
+        let mut command = Command::new(program_path(program));
         command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-        Self { child: command.spawn().expect("egretctl is built") }
+        Self { child: command.spawn().expect("program is built") }
     }
 
     /// Waits for its end.
     pub fn finish(self) -> Ran {
-        let output = self.child.wait_with_output().expect("egretctl can be waited for");
+        let output = self.child.wait_with_output().expect("program can be waited for");
         Ran {
             code: output.status.code().unwrap_or(-1),
             out: String::from_utf8_lossy(&output.stdout).into_owned(),
--- a/crates/proof/tests/config.rs
+++ b/crates/proof/tests/config.rs
@@ -160,6 +160,18 @@
         check_stays(&it, version, 20).await;
     }
 
+    agents_learn_of_further_entries(it, 1, 2) {
+        it.add_entry();
+        let port = it.entry_ports[1];
+        for _ in 0..400 {
+            if it.figure(port, "egret_agents").await == Some(2) {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+        panic!("agents never greeted the new entry");
+    }
+
     faulty_change_is_refused_whole(it, 1, 1) {
         let cases: [(&[&str], i32, &str); 6] = [
             (&["exception-add", "ledger", "slots=4"], 1, "exceptions[0].reason"),
--- a/crates/proof/tests/operate.rs
+++ b/crates/proof/tests/operate.rs
@@ -136,6 +136,20 @@
         assert_eq!(shown["values"][0]["from"], "program");
     }
 
+    settings_are_checked_whole(it, 1, 1) {
+        let settings = json!({"slots": "many", "beet_ms": 5, "beat_ms": 1, "service": "a b"});
+        let file = write_file(&it, "settings.json", &settings);
+        for program in ["egret-agent", "egret-entry"] {
+            let args = ["--settings".to_owned(), file.clone(), "--check-settings".to_owned()];
+            let ran = Tool::start_program(program, &args).finish();
+            assert_eq!(ran.code, 1, "{program}: {}", ran.err);
+            for field in ["slots", "beet_ms", "token"] {
+                assert!(ran.err.contains(&format!("  {field}: ")), "{program}: {}", ran.err);
+            }
+        }
+        fs::remove_file(file).expect("file was there");
+    }
+
     exit_codes_are_those_of_the_page(it, 1, 1) {
         check_code(&it, &["--help"], 0);
         check_code(&it, &["burn", "--help"], 0);
