Messages between processes counted by method

Cause: wasted messages couldn't be told from the metrics. Change: wire::Method counts each message where it is sent; entries and agents show the counts and the bytes of their links.

--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -12,7 +12,7 @@
 use conf::{AgentSettings, Current, Snapshot};
 use futures::future::join_all;
 use tokio::time::{sleep, timeout};
-use wire::{AgentInfo, Link, Load, dial, write_info};
+use wire::{AgentInfo, Link, Load, Method, dial, write_info};
 
 use crate::run::{Inspect, Runner};
 
@@ -161,6 +161,7 @@
     ) -> wire::Result<u64> {
         let load = self.state.runner.send(Inspect).await.unwrap_or_default();
         let mut req = link.entry()?.greet_request();
+        Method::Greet.sent();
         write_info(req.get().init_info(), &self.info(load, snapshot.version));
         if let Some(document) = document {
             req.get().set_document(document);
--- a/crates/agent/src/home/claimer.rs
+++ b/crates/agent/src/home/claimer.rs
@@ -14,7 +14,7 @@
     task::yield_now,
     time::{sleep, timeout},
 };
-use wire::{Links, read_grant, write_claim, write_member};
+use wire::{Links, Method, read_grant, write_claim, write_member};
 
 use super::Desk;
 
@@ -137,6 +137,7 @@
     async fn claim(&self, home: SocketAddr, batch: &[Ask]) -> wire::Result<Vec<Grant>> {
         let link = self.state.links.get(home).await?;
         let mut req = link.agent()?.claim_request();
+        Method::Claim.sent();
         req.get().set_epoch(self.state.homes.epoch());
         write_member(req.get().init_executor(), &self.state.me);
         let mut claims = req.get().init_claims(batch.len() as u32);
@@ -159,6 +160,7 @@
         }
         let link = state.links.get(home.address).await?;
         let mut req = link.agent()?.release_request();
+        Method::Release.sent();
         req.get().set_epoch(state.homes.epoch());
         write_member(req.get().init_executor(), &state.me);
         write_claim(req.get().init_claims(1).get(0), claim);
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,7 +4,7 @@
     metrics::{family::Family, gauge::Gauge},
     registry::Registry,
 };
-use wire::Load;
+use wire::{Load, Method, Traffic};
 
 use crate::run::Kept;
 
@@ -23,6 +23,16 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByWay {
+    way: &'static str,
+}
+
 /// The figures of this moment, as Prometheus reads them.
 ///
 /// # Errors
@@ -54,7 +64,22 @@
         family.get_or_create(&set).set(value as i64);
         registry.register(name, help, family);
     }
+    register_messages(&mut registry);
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
+
+fn register_messages(registry: &mut Registry) {
+    let messages = Family::<ByMethod, Gauge>::default();
+    for method in Method::ALL {
+        let labels = ByMethod { method: method.as_str() };
+        messages.get_or_create(&labels).set(method.count() as i64);
+    }
+    registry.register("egret_messages", "Messages sent by method", messages);
+    let bytes = Family::<ByWay, Gauge>::default();
+    let traffic = Traffic::now();
+    bytes.get_or_create(&ByWay { way: "sent" }).set(traffic.sent as i64);
+    bytes.get_or_create(&ByWay { way: "received" }).set(traffic.received as i64);
+    registry.register("egret_link_bytes", "Bytes over all links", bytes);
+}
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -7,7 +7,7 @@
 use claim::{Claim, Found, Grant};
 use roster::{Homes, Roster};
 use tokio::time::{sleep, timeout_at};
-use wire::{Link, Links, Reply, read_load, read_reply, write_task};
+use wire::{Link, Links, Method, Reply, read_load, read_reply, write_task};
 
 use super::{
     chooser::{Chooser, Chosen},
@@ -147,6 +147,7 @@
         let Ok(link) = self.links.get(agent.address).await else { return Tried::Unsent };
         let Ok(client) = link.agent() else { return Tried::Unsent };
         let mut req = client.run_request();
+        Method::Run.sent();
         write_task(req.get().init_task(), task, Instant::now());
         let sent = req.send().promise;
         let reply = tokio::select! {
--- a/crates/entry/src/call/home.rs
+++ b/crates/entry/src/call/home.rs
@@ -2,7 +2,7 @@
 
 use claim::{Claim, Found};
 use tokio::time::timeout;
-use wire::{read_grant, write_claim};
+use wire::{Method, read_grant, write_claim};
 
 use super::dispatcher::Dispatcher;
 
@@ -39,6 +39,7 @@
         let Some(home) = self.home(service, &claim.id) else { return Ok(None) };
         let link = self.links.get(home.address).await?;
         let mut req = link.agent()?.bar_request();
+        Method::Bar.sent();
         req.get().set_look(query == Query::Look);
         write_claim(req.get().init_claim(), claim);
         let res = req.send().promise.await?;
--- a/crates/entry/src/call/keyed.rs
+++ b/crates/entry/src/call/keyed.rs
@@ -3,7 +3,7 @@
 use base::{Answer, Outcome, Task};
 use claim::{Call, Event, Grant, Holder, Step};
 use tokio::time::sleep;
-use wire::{Reply, read_load, read_reply, write_id};
+use wire::{Method, Reply, read_load, read_reply, write_id};
 
 use super::{
     dispatcher::{Dispatcher, Error, Result, Tried, claim_of, no_agent},
@@ -112,6 +112,7 @@
     ) -> wire::Result<Reply> {
         let link = self.dispatcher.links.get(address).await?;
         let mut req = link.agent()?.attach_request();
+        Method::Attach.sent();
         write_id(req.get().init_id(), &self.task.id);
         let left = self.task.left(Instant::now()).as_millis();
         req.get().set_left_ms(left.try_into().unwrap_or(u32::MAX));
--- a/crates/entry/src/http/admin.rs
+++ b/crates/entry/src/http/admin.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
-use wire::{AgentInfo, Load, dial, read_load};
+use wire::{AgentInfo, Load, Method, dial, read_load};
 
 use super::{
     error::{Error, Result},
@@ -122,6 +122,7 @@
 async fn tell(shared: &Shared, agent: &AgentInfo, on: bool) -> wire::Result<Load> {
     let link = dial(agent.address, &shared.settings.token).await?;
     let mut req = link.agent()?.drain_request();
+    Method::Drain.sent();
     req.get().set_on(on);
     let res = req.send().promise.await?;
     Ok(read_load(res.get()?.get_load()?))
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,6 +13,7 @@
     },
     registry::Registry,
 };
+use wire::{Method, Traffic};
 
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -37,6 +38,16 @@
     code: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByWay {
+    way: &'static str,
+}
+
 /// What a caller sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -60,6 +71,8 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
+    messages: Family<ByMethod, Gauge<u64, AtomicU64>>,
+    bytes: Family<ByWay, Gauge<u64, AtomicU64>>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
@@ -84,6 +97,8 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
+            messages: Family::default(),
+            bytes: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
@@ -125,6 +140,13 @@
         self.version.set(version);
         self.agents.set(agents as i64);
         self.broken.set(base::broken_count());
+        for method in Method::ALL {
+            let labels = ByMethod { method: method.as_str() };
+            self.messages.get_or_create(&labels).set(method.count());
+        }
+        let traffic = Traffic::now();
+        self.bytes.get_or_create(&ByWay { way: "sent" }).set(traffic.sent);
+        self.bytes.get_or_create(&ByWay { way: "received" }).set(traffic.received);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -137,6 +159,8 @@
         r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
         r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
+        r.register("egret_messages", "Messages sent by method", self.messages.clone());
+        r.register("egret_link_bytes", "Bytes over all links", self.bytes.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
--- a/crates/proof/tests/operate.rs
+++ b/crates/proof/tests/operate.rs
@@ -136,6 +136,21 @@
         assert_eq!(shown["values"][0]["from"], "program");
     }
 
+    messages_are_counted_by_method(it, 1, 2) {
+        for i in 0..5 {
+            let body = json!({"team": "coop", "key": format!("k{i}"), "body": {}});
+            assert_eq!(it.send(0, "request", &body).await.outcome(), "done");
+        }
+        let run = it.figure(it.entry_ports[0], "egret_messages{method=\"run\"").await;
+        assert_eq!(run, Some(5));
+        let mut claims = 0;
+        for port in &it.agent_ports {
+            let name = "egret_messages{method=\"claim\"";
+            claims += it.figure(*port, name).await.expect("it is counted");
+        }
+        assert!((1..=5).contains(&claims), "{claims}");
+    }
+
     settings_are_checked_whole(it, 1, 1) {
         let settings = json!({"slots": "many", "beet_ms": 5, "beat_ms": 1, "service": "a b"});
         let file = write_file(&it, "settings.json", &settings);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod info;
 mod link;
 mod links;
+mod method;
 mod task;
 mod text;
 mod traffic;
@@ -24,6 +25,7 @@
 pub use info::{AgentInfo, Load, Room, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
 pub use links::Links;
+pub use method::Method;
 pub use task::{read_id, read_task, write_id, write_task};
 pub use traffic::Traffic;
 
