--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,7 +13,7 @@
     },
     registry::Registry,
 };
-use wire::Traffic;
+use wire::{Method, Traffic};
 
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -38,6 +38,11 @@
     code: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
 /// What a caller sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -61,12 +66,13 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
+    messages: Family<ByMethod, Gauge<u64, AtomicU64>>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
     received: Gauge<u64, AtomicU64>,
     sent: Gauge<u64, AtomicU64>,
-    messages: Gauge<u64, AtomicU64>,
+    link_messages: Gauge<u64, AtomicU64>,
 }
 
 /// A submission in flight; one less when dropped.
@@ -88,12 +94,13 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
+            messages: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
             received: Gauge::default(),
             sent: Gauge::default(),
-            messages: Gauge::default(),
+            link_messages: Gauge::default(),
         };
         it.register();
         it
@@ -132,10 +139,14 @@
         self.version.set(version);
         self.agents.set(agents as i64);
         self.broken.set(base::broken_count());
+        for method in Method::ALL {
+            let labels = ByMethod { method: method.as_str() };
+            self.messages.get_or_create(&labels).set(method.count());
+        }
         let traffic = Traffic::now();
         self.received.set(traffic.received);
         self.sent.set(traffic.sent);
-        self.messages.set(traffic.messages);
+        self.link_messages.set(traffic.messages);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -148,6 +159,7 @@
         r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
         r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
+        r.register("egret_messages", "Messages sent by method", self.messages.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
@@ -155,7 +167,7 @@
         let received = self.received.clone();
         r.register("egret_link_received_bytes", "Bytes received over links", received);
         r.register("egret_link_sent_bytes", "Bytes sent over links", self.sent.clone());
-        r.register("egret_link_messages", "Messages sent over links", self.messages.clone());
+        r.register("egret_link_messages", "Messages sent over links", self.link_messages.clone());
     }
 }
 
