--- a/crates/proof/tests/claims.rs
+++ b/crates/proof/tests/claims.rs
@@ -213,6 +213,25 @@
         check_once(&it, 1).await;
     }
 
+    resubmission_shed_while_the_first_copy_runs_waits_for_it(it, 2, 3) {
+        let body = request("shed", json!({"run_ms": 1500}));
+        let again = async {
+            executor(&it, "shed").await;
+            for i in 0..it.agents.len() {
+                it.ctl(&["drain", &format!("agent-{i}")]);
+            }
+            pause(300).await;
+            let fresh = it.send(1, "request", &request("fresh", json!({"run_ms": 1}))).await;
+            (it.send(1, "request", &body).await, fresh)
+        };
+        let (first, (second, fresh)) = join(it.send(0, "request", &body), again).await;
+        check_done(&first);
+        check_done(&second);
+        assert_eq!((fresh.status, fresh.outcome()), (503, "not-run"), "{:?}", fresh.body);
+        assert!(fresh.body["retry_after_ms"].as_u64() >= Some(2000), "{:?}", fresh.body);
+        check_once(&it, 1).await;
+    }
+
     refusal_racing_a_claim_is_true(it, 2, 3) {
         // far more than can end in time, each through both entries
         let keys: Vec<_> = (0..120).map(|i| format!("s{i}")).collect();
