--- a/crates/entry/src/call/keyed.rs
+++ b/crates/entry/src/call/keyed.rs
@@ -91,9 +91,6 @@
                 self.rest().await;
                 continue;
             };
-            if peer.incarnation > holder.incarnation {
-                return Event::HolderLost(holder);
-            }
             match self.try_attach(peer.address, &holder).await {
                 Ok(reply) => {
                     self.dispatcher.learn(&self.task, &reply);
