--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -28,11 +28,6 @@
     method: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByWay {
-    way: &'static str,
-}
-
 /// The figures of this moment, as Prometheus reads them.
 ///
 /// # Errors
@@ -43,6 +38,7 @@
     kept: &Kept,
     version: u64,
 ) -> Result<String, std::fmt::Error> {
+    let traffic = Traffic::now();
     let figures = [
         ("egret_queued", "Tasks that wait", u64::from(load.queued)),
         ("egret_running", "Tasks that run", load.running.into()),
@@ -56,6 +52,9 @@
         ("egret_record_bytes", "Memory of records with answers", kept.record_bytes as u64),
         ("egret_configuration_version", "Fleet configuration in force", version),
         ("egret_invariants_broken", "Invariants broken since the start", base::broken_count()),
+        ("egret_link_received_bytes", "Bytes received over links", traffic.received),
+        ("egret_link_sent_bytes", "Bytes sent over links", traffic.sent),
+        ("egret_link_messages", "Messages sent over links", traffic.messages),
     ];
     let set = Set { agent: labels.name.to_string(), service: labels.service.to_string() };
     let mut registry = Registry::default();
@@ -64,22 +63,17 @@
         family.get_or_create(&set).set(value as i64);
         registry.register(name, help, family);
     }
-    register_messages(&mut registry);
+    register_calls(&mut registry);
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
 
-fn register_messages(registry: &mut Registry) {
-    let messages = Family::<ByMethod, Gauge>::default();
+fn register_calls(registry: &mut Registry) {
+    let calls = Family::<ByMethod, Gauge>::default();
     for method in Method::ALL {
         let labels = ByMethod { method: method.as_str() };
-        messages.get_or_create(&labels).set(method.count() as i64);
+        calls.get_or_create(&labels).set(method.count() as i64);
     }
-    registry.register("egret_messages", "Messages sent by method", messages);
-    let bytes = Family::<ByWay, Gauge>::default();
-    let traffic = Traffic::now();
-    bytes.get_or_create(&ByWay { way: "sent" }).set(traffic.sent as i64);
-    bytes.get_or_create(&ByWay { way: "received" }).set(traffic.received as i64);
-    registry.register("egret_link_bytes", "Bytes over all links", bytes);
+    registry.register("egret_calls", "Calls to other processes by method", calls);
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,11 +43,6 @@
     method: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ByWay {
-    way: &'static str,
-}
-
 /// What a caller sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -71,11 +66,13 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
-    messages: Family<ByMethod, Gauge<u64, AtomicU64>>,
-    bytes: Family<ByWay, Gauge<u64, AtomicU64>>,
+    calls: Family<ByMethod, Gauge<u64, AtomicU64>>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
+    received: Gauge<u64, AtomicU64>,
+    sent: Gauge<u64, AtomicU64>,
+    messages: Gauge<u64, AtomicU64>,
 }
 
 /// A submission in flight; one less when dropped.
@@ -97,11 +94,13 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
-            messages: Family::default(),
-            bytes: Family::default(),
+            calls: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
+            received: Gauge::default(),
+            sent: Gauge::default(),
+            messages: Gauge::default(),
         };
         it.register();
         it
@@ -142,11 +141,12 @@
         self.broken.set(base::broken_count());
         for method in Method::ALL {
             let labels = ByMethod { method: method.as_str() };
-            self.messages.get_or_create(&labels).set(method.count());
+            self.calls.get_or_create(&labels).set(method.count());
         }
         let traffic = Traffic::now();
-        self.bytes.get_or_create(&ByWay { way: "sent" }).set(traffic.sent);
-        self.bytes.get_or_create(&ByWay { way: "received" }).set(traffic.received);
+        self.received.set(traffic.received);
+        self.sent.set(traffic.sent);
+        self.messages.set(traffic.messages);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -159,12 +159,15 @@
         r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
         r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
-        r.register("egret_messages", "Messages sent by method", self.messages.clone());
-        r.register("egret_link_bytes", "Bytes over all links", self.bytes.clone());
+        r.register("egret_calls", "Calls to agents by method", self.calls.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
         r.register("egret_invariants_broken", "Invariants broken since the start", broken);
+        let received = self.received.clone();
+        r.register("egret_link_received_bytes", "Bytes received over links", received);
+        r.register("egret_link_sent_bytes", "Bytes sent over links", self.sent.clone());
+        r.register("egret_link_messages", "Messages sent over links", self.messages.clone());
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,7 +27,7 @@
 pub use links::Links;
 pub use method::Method;
 pub use task::{read_id, read_task, write_id, write_task};
-pub use traffic::Traffic;
+pub use traffic::{Frames, Traffic};
 
 /// Version of the protocol; peers with another one are refused.
 pub const PROTOCOL: u16 = 1;
