--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -63,17 +63,17 @@
         family.get_or_create(&set).set(value as i64);
         registry.register(name, help, family);
     }
-    register_messages(&mut registry);
+    register_calls(&mut registry);
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
 
-fn register_messages(registry: &mut Registry) {
-    let messages = Family::<ByMethod, Gauge>::default();
+fn register_calls(registry: &mut Registry) {
+    let calls = Family::<ByMethod, Gauge>::default();
     for method in Method::ALL {
         let labels = ByMethod { method: method.as_str() };
-        messages.get_or_create(&labels).set(method.count() as i64);
+        calls.get_or_create(&labels).set(method.count() as i64);
     }
-    registry.register("egret_messages", "Messages sent by method", messages);
+    registry.register("egret_calls", "Calls to other processes by method", calls);
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -66,13 +66,13 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
-    messages: Family<ByMethod, Gauge<u64, AtomicU64>>,
+    calls: Family<ByMethod, Gauge<u64, AtomicU64>>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
     received: Gauge<u64, AtomicU64>,
     sent: Gauge<u64, AtomicU64>,
-    link_messages: Gauge<u64, AtomicU64>,
+    messages: Gauge<u64, AtomicU64>,
 }
 
 /// A submission in flight; one less when dropped.
@@ -94,13 +94,13 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
-            messages: Family::default(),
+            calls: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
             received: Gauge::default(),
             sent: Gauge::default(),
-            link_messages: Gauge::default(),
+            messages: Gauge::default(),
         };
         it.register();
         it
@@ -141,12 +141,12 @@
         self.broken.set(base::broken_count());
         for method in Method::ALL {
             let labels = ByMethod { method: method.as_str() };
-            self.messages.get_or_create(&labels).set(method.count());
+            self.calls.get_or_create(&labels).set(method.count());
         }
         let traffic = Traffic::now();
         self.received.set(traffic.received);
         self.sent.set(traffic.sent);
-        self.link_messages.set(traffic.messages);
+        self.messages.set(traffic.messages);
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
@@ -159,7 +159,7 @@
         r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
         r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
-        r.register("egret_messages", "Messages sent by method", self.messages.clone());
+        r.register("egret_calls", "Calls to agents by method", self.calls.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
@@ -167,7 +167,7 @@
         let received = self.received.clone();
         r.register("egret_link_received_bytes", "Bytes received over links", received);
         r.register("egret_link_sent_bytes", "Bytes sent over links", self.sent.clone());
-        r.register("egret_link_messages", "Messages sent over links", self.link_messages.clone());
+        r.register("egret_link_messages", "Messages sent over links", self.messages.clone());
     }
 }
 
--- a/crates/proof/tests/operate.rs
+++ b/crates/proof/tests/operate.rs
@@ -136,16 +136,16 @@
         assert_eq!(shown["values"][0]["from"], "program");
     }
 
-    messages_are_counted_by_method(it, 1, 2) {
+    calls_are_counted_by_method(it, 1, 2) {
         for i in 0..5 {
             let body = json!({"team": "coop", "key": format!("k{i}"), "body": {}});
             assert_eq!(it.send(0, "request", &body).await.outcome(), "done");
         }
-        let run = it.figure(it.entry_ports[0], "egret_messages{method=\"run\"").await;
+        let run = it.figure(it.entry_ports[0], "egret_calls{method=\"run\"").await;
         assert_eq!(run, Some(5));
         let mut claims = 0;
         for port in &it.agent_ports {
-            let name = "egret_messages{method=\"claim\"";
+            let name = "egret_calls{method=\"claim\"";
             claims += it.figure(*port, name).await.expect("it is counted");
         }
         assert!((1..=5).contains(&claims), "{claims}");
--- a/crates/wire/src/method.rs
+++ b/crates/wire/src/method.rs
@@ -2,7 +2,7 @@
 
 macro_rules! methods {
     ($($name:ident = $text:literal)*) => {
-        /// A kind of message between two of our processes.
+        /// A kind of call between two of our processes.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
         pub enum Method {
             $($name,)*
@@ -37,12 +37,12 @@
 static COUNTS: [AtomicU64; Method::ALL.len()] = [const { AtomicU64::new(0) }; Method::ALL.len()];
 
 impl Method {
-    /// Counts a message that goes out.
+    /// Counts a call that goes out.
     pub fn sent(self) {
         COUNTS[self as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Messages sent since the process started, without their replies.
+    /// Calls since the process started.
     pub fn count(self) -> u64 {
         COUNTS[self as usize].load(Ordering::Relaxed)
     }
