Recovery of rosters tested: operator's word, restarts, table down, planned leave

A leaving member learnt that the change was settled only at its next read of the row: the writer tells it too now (seen to fail in planned_leave_waits_for_nothing: has_left() false after 500 ms).

--- a/crates/roster/src/membership.rs
+++ b/crates/roster/src/membership.rs
@@ -196,10 +196,11 @@
         self.row.last_read = Some(now.at);
         let roster = row.unwrap_or_default();
         self.row.seen = Some((version, roster.change));
+        let leaving = self.roster.leaving.clone();
         self.learn(&roster, now);
         if self.row.wrote.as_ref() == Some(&roster) {
             self.row.wrote = None;
-            self.tell_others(now);
+            self.tell_others(&leaving, now);
         }
         self.advance(now)
     }
@@ -314,9 +315,12 @@
     }
 
     /// Spreads the document: its writer needn't wait until the others read it.
-    fn tell_others(&mut self, now: Now) {
-        for member in self.others() {
-            self.send(&member, Some(self.roster.clone()), now);
+    fn tell_others(&mut self, leaving: &[Member], now: Now) {
+        let mut all = self.others();
+        all.extend(leaving.iter().filter(|m| !find(&all, m)).cloned().collect::<Vec<_>>());
+        all.retain(|m| m.name != self.me.name);
+        for member in &all {
+            self.send(member, Some(self.roster.clone()), now);
         }
     }
 
--- a/crates/roster/tests/protocol/main.rs
+++ b/crates/roster/tests/protocol/main.rs
@@ -4,5 +4,6 @@
 mod messages;
 mod model;
 mod node;
+mod recovery;
 mod rules;
 mod world;
