--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -7,10 +7,10 @@
 /// Settings of admission.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// share of taken slots up to which teams may go over their share, 0 to 1
+    /// share of taken slots up to which teams may go over their quota, 0 to 1
     pub lend_below: f64,
-    /// share of the time left that wait and run may fill, 0 to 1
-    pub deadline_share: f64,
+    /// share of the time left beside the run that may be spent waiting, 0 to 1
+    pub wait_share: f64,
     /// shortest time to come back
     pub min_retry: Duration,
     /// longest time to come back
@@ -21,7 +21,7 @@
     fn default() -> Self {
         Self {
             lend_below: 0.75,
-            deadline_share: 0.9,
+            wait_share: 0.6,
             min_retry: Duration::from_millis(100),
             max_retry: Duration::from_secs(30),
         }
@@ -90,20 +90,28 @@
         spread: f64,
         now: Instant,
     ) -> Result<(), Refusal> {
-        let needed = pressure.wait + pressure.own_work(asked.tasks);
-        let allowed = asked.left.mul_f64(self.settings.deadline_share);
-        if needed > allowed {
-            let over = needed - allowed;
-            return Err(self.refuse(Why::Backlog, over.max(pressure.wait), spread));
+        let run = pressure.own_work(asked.tasks);
+        let spare = asked.left.saturating_sub(run).mul_f64(self.settings.wait_share);
+        if run > asked.left || pressure.wait > spare {
+            return Err(self.refuse(Why::Backlog, pressure.wait.max(run), spread));
         }
         let ratio = self.shares.ratio(asked.team, asked.entitled, now);
-        if ratio > 1.0 && pressure.busy >= self.settings.lend_below {
+        if ratio > 1.0 && self.is_pressed(asked.entitled, pressure) {
             return Err(self.refuse(Why::Quota, Shares::time_to_share(ratio), spread));
         }
         self.shares.add(asked.team, asked.entitled.weight, asked.tasks, now);
         Ok(())
     }
 
+    /// Whether what a team takes over its share is missing to others. Quotas
+    /// leave some slots free; without one, a team may take all that is idle.
+    fn is_pressed(&self, entitled: Entitled, pressure: Pressure) -> bool {
+        match entitled.quota {
+            Some(_) => pressure.busy >= self.settings.lend_below,
+            None => !pressure.wait.is_zero(),
+        }
+    }
+
     /// Comes back after the excess is worked off, spread over as long again.
     fn refuse(&self, why: Why, after: Duration, spread: f64) -> Refusal {
         let Settings { min_retry, max_retry, .. } = self.settings;
--- a/crates/admit/tests/admit.rs
+++ b/crates/admit/tests/admit.rs
@@ -28,7 +28,9 @@
             let team = Name::from(*team);
             let left = Duration::from_secs(5);
             let asked = Asked { team: &team, entitled: *entitled, tasks: 1, left };
-            counts[i] += usize::from(admission.admit(&asked, pressure(0, busy), 0.5, now).is_ok());
+            counts[i] += usize::from(
+                admission.admit(&asked, pressure(u64::from(busy > 0.8), busy), 0.5, now).is_ok(),
+            );
         }
     }
     counts
@@ -63,7 +65,8 @@
         let mut admission = Admission::new(Settings::default());
         let spread = f64::from(spread) / 255.0;
         let rounds = u32::from(tasks).div_ceil(80);
-        let fits = pressure.wait + pressure.run * rounds <= left.mul_f64(0.9);
+        let run = pressure.run * rounds;
+        let fits = run <= left && pressure.wait <= left.saturating_sub(run).mul_f64(0.6);
         match admission.admit(&asked, pressure, spread, Instant::now()) {
             Ok(()) => assert!(fits),
             Err(refusal) => {
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -19,7 +19,9 @@
 use wire::Door;
 
 use crate::{
-    Error, Result, cli,
+    Error, Result,
+    call::Gate,
+    cli,
     counts::{Counts, Keeper},
     fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher, watch_silence},
     http,
@@ -37,6 +39,7 @@
     /// the other entries
     pub peers: Arc<Peers>,
     pub metrics: Arc<Metrics>,
+    pub gate: Arc<Gate>,
     pub counts: Arc<Counts>,
     pub started: Instant,
     /// true from the start of a graceful shutdown
@@ -58,12 +61,16 @@
 
 async fn serve(settings: EntrySettings) -> Result<()> {
     let silence = Duration::from_millis(settings.silence_ms);
+    let fleet = Arc::<Current>::default();
+    let peers = Arc::<Peers>::default();
+    let metrics = Arc::<Metrics>::default();
     let shared = Shared {
+        gate: Arc::new(Gate::new(fleet.clone(), peers.clone(), metrics.clone())),
         agents: Arc::new(Agents::new(silence)),
-        fleet: Arc::default(),
+        fleet,
         rosters: Arc::default(),
-        peers: Arc::default(),
-        metrics: Arc::default(),
+        peers,
+        metrics,
         counts: Arc::default(),
         started: Instant::now(),
         stopping: Arc::default(),
--- a/crates/entry/src/call/chooser.rs
+++ b/crates/entry/src/call/chooser.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use admit::Pressure;
 use base::{Event, Name};
 use conf::PickKind;
 use pick::{
@@ -12,12 +13,15 @@
     RoundRobin, Settings, Standing, View,
 };
 use queue::{Class, Classes};
+use rand::Rng;
 use wire::Load;
 
 use crate::fleet::{Agents, Peer};
 
 /// Extra cost of an agent in another data centre, there and back.
 const DISTANCE: Duration = Duration::from_millis(1);
+/// Most agents looked at to tell how busy a service is.
+const SAMPLE: usize = 12;
 /// An operation is long from this many times the short run time on.
 const LONG_FACTOR: f64 = 5.0;
 
@@ -73,6 +77,24 @@
         Some(Chosen { peer })
     }
 
+    /// How busy a service is for an operation, by a sample of its agents.
+    pub fn pressure(&self, service: &Name, operation: &str) -> Pressure {
+        self.refresh(service);
+        let services = self.services.borrow();
+        let Some(service) = services.get(service).filter(|s| !s.peers.is_empty()) else {
+            return Pressure::default();
+        };
+        let class = service.classes.class(operation);
+        let now = Instant::now();
+        let mut sample = Sample::default();
+        for peer in service.sample() {
+            if let Some(view) = peer.view(class, self.agents.silence(), now) {
+                sample.add(&view, peer.taken());
+            }
+        }
+        sample.pressure(service.peers.len())
+    }
+
     /// Learns from the run time of a task.
     pub fn learn(&self, service: &Name, operation: &Name, ran: Duration) {
         if let Some(service) = self.services.borrow_mut().get_mut(service) {
@@ -95,7 +117,45 @@
     }
 }
 
+/// What the agents looked at have in common.
+#[derive(Default)]
+struct Sample {
+    agents: usize,
+    slots: u32,
+    taken: u32,
+    best: Option<View>,
+}
+
+impl Sample {
+    fn add(&mut self, view: &View, taken: u32) {
+        self.agents += 1;
+        self.slots += view.slots;
+        self.taken += taken;
+        let time = |v: &View| v.expected_wait() + v.mean;
+        if self.best.is_none_or(|best| time(view) < time(&best)) {
+            self.best = Some(*view);
+        }
+    }
+
+    /// Scaled up to a service of so many agents.
+    fn pressure(&self, agents: usize) -> Pressure {
+        let Some(best) = self.best else { return Pressure::default() };
+        Pressure {
+            wait: best.expected_wait(),
+            run: best.mean,
+            busy: f64::from(self.taken) / f64::from(self.slots.max(1)),
+            slots: self.slots * agents as u32 / self.agents as u32,
+        }
+    }
+}
+
 impl Service {
+    /// All agents of a small service, neighbours from a random one of a large.
+    fn sample(&self) -> impl Iterator<Item = &Arc<Peer>> {
+        let start = rand::rng().random_range(0..self.peers.len());
+        self.peers.iter().cycle().skip(start).take(self.peers.len().min(SAMPLE))
+    }
+
     fn new() -> Self {
         Self {
             changes: u64::MAX,
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -1,27 +1,31 @@
 use std::{
+    cell::RefCell,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use base::{Answer, Outcome, Task, TaskId};
+use admit::{BudgetSettings, RetryBudget};
+use base::{Answer, Name, Outcome, Task, TaskId};
 use claim::{Claim, Found, Grant};
+use futures::future::try_join_all;
 use roster::{Homes, Roster};
 use tokio::time::{sleep, timeout_at};
 use wire::{Link, Links, Reply, read_load, read_reply, write_task};
 
 use super::{
     chooser::{Chooser, Chosen},
+    gate::Gate,
     home::Query,
     keyed::Keyed,
 };
 use crate::{
     app::Shared,
     fleet::{Agents, Peer, Rosters},
+    metrics::{Decision, Metrics},
 };
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-const MAX_TRIES: u32 = 3;
+const MAX_TRIES: usize = 3;
 /// How often an agent that owes a reply is looked at for signs of life.
 const WATCH: Duration = Duration::from_millis(100);
 
@@ -42,6 +46,9 @@
     /// a call that comes back after this began after a bar
     pub(super) bar_retry: Duration,
     chooser: Chooser,
+    gate: Arc<Gate>,
+    budget: RefCell<RetryBudget>,
+    metrics: Arc<Metrics>,
 }
 
 /// How one offer ended.
@@ -60,6 +67,9 @@
         Self {
             chooser: Chooser::new(agents.clone(), settings.centre.clone(), settings.pick),
             agents,
+            gate: shared.gate.clone(),
+            budget: RefCell::new(RetryBudget::new(BudgetSettings::default())),
+            metrics: shared.metrics.clone(),
             rosters: shared.rosters.clone(),
             links: Links::new(settings.token.clone()),
             bar_retry: Duration::from_millis(2 * settings.skew_ms),
@@ -71,10 +81,43 @@
     /// # Errors
     /// `Conflict` when its key was used with another body.
     pub async fn run(&self, task: Task) -> Result<Answer> {
+        let refusal = self.refuse(std::slice::from_ref(&task));
+        self.run_one(task, refusal).await
+    }
+
+    /// Gives the answers to all tasks of a job, admitted or refused together.
+    ///
+    /// # Errors
+    /// `Conflict` when its key was used with another body.
+    pub async fn run_all(&self, tasks: Vec<Task>) -> Result<Vec<Answer>> {
+        let refusal = self.refuse(&tasks);
+        try_join_all(tasks.into_iter().map(|t| self.run_one(t, refusal.clone()))).await
+    }
+
+    /// Why a submission is not admitted, if it is not.
+    fn refuse(&self, tasks: &[Task]) -> Option<Answer> {
+        let first = tasks.first()?;
+        let pressure = self.chooser.pressure(&first.service, &first.operation);
+        self.gate.refuse(tasks, pressure)
+    }
+
+    /// Whether a task may be offered once more; tries are bounded so that
+    /// they add little to a service that is too busy already.
+    pub(super) fn may_retry(&self) -> bool {
+        let granted = self.budget.borrow_mut().take();
+        self.metrics.decided(if granted { Decision::Retry } else { Decision::NoRetry });
+        granted
+    }
+
+    async fn run_one(&self, task: Task, refusal: Option<Answer>) -> Result<Answer> {
+        self.budget.borrow_mut().first();
         let deadline = task.deadline.into();
         let run = async {
             if task.keyed {
-                return Keyed::new(self, task).run().await;
+                return Keyed::new(self, task, refusal).run().await;
+            }
+            if let Some(refusal) = refusal {
+                return Ok(refusal);
             }
             self.try_agents(task).await
         };
@@ -103,11 +146,13 @@
     /// last certainly did not start.
     async fn try_agents(&self, task: Task) -> Result<Answer> {
         let mut last = no_agent();
-        for _ in 0..MAX_TRIES {
-            let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &|_| false)
-            else {
+        let mut tried: Vec<Name> = Vec::new();
+        while tried.len() < MAX_TRIES && (tried.is_empty() || self.may_retry()) {
+            let skip = |peer: &Peer| tried.contains(&peer.name);
+            let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &skip) else {
                 break;
             };
+            tried.push(chosen.peer.name.clone());
             match self.offer(&chosen, &task).await {
                 Tried::Replied(Reply::Conflict) => return Err(Error::Conflict),
                 Tried::Replied(Reply::Held(holder)) => {
@@ -120,7 +165,6 @@
                 Tried::Unsent => {}
                 Tried::Lost(why) => return Ok(Answer::unknown(&why)),
             }
-            sleep(RETRY_PAUSE).await;
         }
         Ok(last)
     }
@@ -144,6 +188,7 @@
     /// heard.
     pub(super) async fn offer(&self, chosen: &Chosen, task: &Task) -> Tried {
         let agent = &chosen.peer;
+        self.metrics.decided(Decision::Offer);
         let Ok(link) = self.links.get(agent.address).await else { return Tried::Unsent };
         let Ok(client) = link.agent() else { return Tried::Unsent };
         let mut req = client.run_request();
--- /dev/null
+++ b/crates/entry/src/call/gate.rs
@@ -0,0 +1,66 @@
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
+
+use admit::{Admission, Asked, Entitled, Pressure, Refusal, Why};
+use base::{Answer, Name, Task};
+use rand::Rng;
+
+use crate::{
+    fleet::{Current, Peers},
+    metrics::{Decision, Metrics},
+};
+
+/// Admits submissions; the threads of an entry share it.
+pub struct Gate {
+    fleet: Arc<Current>,
+    entries: Arc<Peers>,
+    metrics: Arc<Metrics>,
+    services: Mutex<HashMap<Name, Admission>>,
+}
+
+impl Gate {
+    pub fn new(fleet: Arc<Current>, entries: Arc<Peers>, metrics: Arc<Metrics>) -> Self {
+        Self { fleet, entries, metrics, services: Mutex::default() }
+    }
+
+    /// The refusal of a submission that is not admitted, the same for all of
+    /// its tasks.
+    pub fn refuse(&self, tasks: &[Task], pressure: Pressure) -> Option<Answer> {
+        let first = tasks.first()?;
+        let now = Instant::now();
+        let asked = Asked {
+            team: &first.id.team,
+            entitled: self.entitled(first),
+            tasks: tasks.len(),
+            left: first.left(now),
+        };
+        let spread = rand::rng().random();
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let admission = services.entry(first.service.clone()).or_default();
+        let refusal = admission.admit(&asked, pressure, spread, now).err()?;
+        drop(services);
+        Some(self.answer(refusal))
+    }
+
+    /// What the fleet configuration gives a team, by this entry's part of it.
+    fn entitled(&self, task: &Task) -> Entitled {
+        let snapshot = self.fleet.get();
+        let service = snapshot.fleet.services.get(&task.service);
+        let team = service.and_then(|s| s.teams.get(&task.id.team)).cloned().unwrap_or_default();
+        let entries = self.entries.addresses().len().max(1) as f64;
+        let quota = team.quota.map(|quota| quota as f64 / entries);
+        Entitled { weight: team.weight as f64, quota }
+    }
+
+    fn answer(&self, refusal: Refusal) -> Answer {
+        let (decision, reason) = match refusal.why {
+            Why::Backlog => (Decision::Backlog, "the service is too busy to end it in time"),
+            Why::Quota => (Decision::Quota, "the team has had its share of a busy service"),
+        };
+        self.metrics.decided(decision);
+        Answer::not_run(reason, refusal.retry_after)
+    }
+}
--- a/crates/entry/src/call/keyed.rs
+++ b/crates/entry/src/call/keyed.rs
@@ -21,15 +21,19 @@
 pub struct Keyed<'a> {
     dispatcher: &'a Dispatcher,
     task: Task,
+    /// why the task is not admitted
+    refusal: Option<Answer>,
     call: Call,
     refusals: u32,
     pause: Duration,
 }
 
 impl<'a> Keyed<'a> {
-    pub fn new(dispatcher: &'a Dispatcher, task: Task) -> Self {
+    /// A call with a `refusal` makes no offer, but still ends in the answer of
+    /// a start that it finds.
+    pub fn new(dispatcher: &'a Dispatcher, task: Task, refusal: Option<Answer>) -> Self {
         let call = Call::new(no_agent());
-        Self { dispatcher, task, call, refusals: 0, pause: FIRST_PAUSE }
+        Self { dispatcher, task, refusal, call, refusals: 0, pause: FIRST_PAUSE }
     }
 
     /// Follows the call to its answer; the deadline is kept outside.
@@ -52,6 +56,9 @@
     }
 
     async fn offer(&mut self) -> Event {
+        if let Some(refusal) = &self.refusal {
+            return Event::NoAgent(refusal.clone());
+        }
         if self.refusals == MAX_REFUSALS {
             return Event::NoAgent(self.call.refusal().clone());
         }
@@ -81,6 +88,9 @@
     async fn declined(&mut self, answer: Answer) -> Event {
         let refused = answer.outcome == Outcome::NotRun;
         self.refusals += u32::from(refused);
+        if refused && !self.dispatcher.may_retry() {
+            return Event::NoAgent(answer);
+        }
         self.rest().await;
         Event::Declined(if refused { answer } else { no_agent() })
     }
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -3,9 +3,11 @@
 
 mod chooser;
 mod dispatcher;
+mod gate;
 mod home;
 mod keyed;
 mod keys;
 
 pub use dispatcher::{Dispatcher, Error};
+pub use gate::Gate;
 pub use keys::{Key, KeyState, Tally};
--- a/crates/entry/src/fleet/peer.rs
+++ b/crates/entry/src/fleet/peer.rs
@@ -104,6 +104,13 @@
         self.outstanding.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Slots of the agent that are taken, at most all of them.
+    pub fn taken(&self) -> u32 {
+        let unreported = self.unreported.load(Ordering::Relaxed);
+        let load = self.state().info.load;
+        (load.queued + load.running + unreported).min(load.slots)
+    }
+
     /// What a choice needs to know, unless the agent takes no new work.
     pub fn view(&self, class: Class, silence: Duration, now: Instant) -> Option<View> {
         let state = self.state();
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -5,7 +5,6 @@
     web::{Bytes, Data, Path},
 };
 use base::{Answer, Name, Outcome, invariant};
-use futures::future::try_join_all;
 use serde::Deserialize;
 
 use super::{
@@ -52,9 +51,8 @@
     let terms = Terms::check(&shared, &http, &service, asked)?;
     let tasks = terms.tasks(job.tasks)?;
     dispatcher.check_key(&tasks[0]).await?;
-    let runs = tasks.into_iter().map(|t| dispatcher.run(t));
     let in_flight = shared.metrics.begin(&terms.service);
-    let answers = try_join_all(runs).await?;
+    let answers = dispatcher.run_all(tasks).await?;
     drop(in_flight);
     invariant!(answers.len() == count, "{} answers to {count} tasks", answers.len());
     let whole = sum_up(&answers);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -54,6 +54,38 @@
     }
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByDecision {
+    decision: &'static str,
+}
+
+/// What the policy under load decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// a task was offered to an agent
+    Offer,
+    /// a task was offered again, out of the retry budget
+    Retry,
+    /// a further offer was left out: the retry budget is spent
+    NoRetry,
+    /// a submission was refused: it can't end by its deadline
+    Backlog,
+    /// a submission was refused: its team has had its share
+    Quota,
+}
+
+impl Decision {
+    fn as_str(self) -> &'static str {
+        match self {
+            Decision::Offer => "offer",
+            Decision::Retry => "retry",
+            Decision::NoRetry => "no-retry",
+            Decision::Backlog => "refused-backlog",
+            Decision::Quota => "refused-quota",
+        }
+    }
+}
+
 /// Counters and gauges of this entry.
 pub struct Metrics {
     registry: Registry,
@@ -61,6 +93,7 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
+    decisions: Family<ByDecision, Counter>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
     broken: Gauge<u64, AtomicU64>,
@@ -88,6 +121,7 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
+            decisions: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
             broken: Gauge::default(),
@@ -124,6 +158,11 @@
         self.refused.get_or_create(&ByCode { code }).inc();
     }
 
+    /// Counts a decision of the policy.
+    pub fn decided(&self, decision: Decision) {
+        self.decisions.get_or_create(&ByDecision { decision: decision.as_str() }).inc();
+    }
+
     /// The figures of this moment.
     ///
     /// # Errors
@@ -147,6 +186,8 @@
         r.register("egret_latency_seconds", "Time to the final answer", self.latency.clone());
         r.register("egret_in_flight", "Submissions without an answer", self.in_flight.clone());
         r.register("egret_refused", "Refusals of bad input by code", self.refused.clone());
+        let decisions = self.decisions.clone();
+        r.register("egret_decisions", "Offers, retries and refusals of the policy", decisions);
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -36,7 +36,7 @@
             patience: 4.0,
             max_patience: Duration::from_secs(2),
             max_queued: 4096,
-            wait_share: 0.9,
+            wait_share: 0.7,
         }
     }
 }
