A document that an agent can't read is sent to it once

Cause: an agent that can't read a version stays behind, so that a newer entry sent it the whole document at every greeting (twice a second), far beyond 2 KB/s of control. Change: an agent tells the highest version it was sent beside the one in force. Tests: document_that_an_agent_refused_is_not_sent_again, seen failing without the change; unreadable_version_is_left_aside.

--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -163,6 +163,7 @@
         let mut req = link.entry()?.greet_request();
         Method::Greet.sent();
         write_info(req.get().init_info(), &self.info(load, snapshot.version));
+        req.get().set_seen(self.state.fleet.seen());
         if let Some(document) = document {
             req.get().set_document(document);
         }
--- a/crates/conf/src/fleet/current.rs
+++ b/crates/conf/src/fleet/current.rs
@@ -33,6 +33,11 @@
         self.get().version
     }
 
+    /// Highest version offered so far, whether it could be read or not.
+    pub fn seen(&self) -> u64 {
+        self.version().max(self.refused.load(Ordering::Relaxed))
+    }
+
     /// Puts a newer version in force; an older one is left aside.
     pub fn offer(&self, version: u64, document: &str) {
         if version <= self.version() {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -35,7 +35,7 @@
         let snapshot = self.shared.fleet.get();
         let mut results = results.get();
         results.set_version(snapshot.version);
-        if theirs < snapshot.version {
+        if theirs.max(params.get_seen()) < snapshot.version {
             results.set_document(&*snapshot.text);
         }
         let entries = self.shared.peers.addresses();
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -185,6 +185,14 @@
         self.entries.push(entry);
     }
 
+    /// Writes a row of the platform's table over the version expected.
+    pub async fn write_row(&self, key: &str, expected: u64, value: &str) {
+        let url = format!("http://127.0.0.1:{}/tables/egret/{key}", self.platform_port);
+        let req = Client::default().put(url).insert_header(("if-match", expected.to_string()));
+        let res = req.send_body(value.to_owned()).await.expect("platform answers");
+        assert!(res.status().is_success(), "row {key} is not at version {expected}");
+    }
+
     /// How often each task was started, over all backend servers that answer.
     pub async fn starts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
@@ -230,9 +238,7 @@
 
     async fn write_fleet(&self) {
         let fleet = json!({ "services": { "ledger": { "teams": { "coop": {}, "mill": {} } } } });
-        let url = format!("http://127.0.0.1:{}/tables/egret/fleet", self.platform_port);
-        let req = Client::default().put(url).insert_header(("if-match", "0"));
-        req.send_body(fleet.to_string()).await.expect("fleet is written");
+        self.write_row("fleet", 0, &fleet.to_string()).await;
     }
 
     fn start_with(&self, program: &str, name: &str, settings: &Value) -> Process {
--- a/crates/proof/tests/config.rs
+++ b/crates/proof/tests/config.rs
@@ -1,8 +1,12 @@
 //! An accepted configuration is in force everywhere within five seconds, and
 //! never reverts.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
+use base::Token;
 use nix::sys::signal::Signal;
 use proof::{Deployment, Ran};
 use serde_json::{Value, json};
@@ -70,6 +74,21 @@
     serde_json::from_str(&ran.out).expect("query prints JSON")
 }
 
+/// Whether the entry sends the document to an agent that has one version in
+/// force and has seen another.
+async fn is_taught(it: &Deployment, version: u64, seen: u64) -> bool {
+    let address = SocketAddr::from(([127, 0, 0, 1], it.entry_rpc_ports[0]));
+    let link = wire::dial(address, &Token::new("proof")).await.expect("entry is there");
+    let mut req = link.entry().expect("it is an entry").greet_request();
+    let mut info = req.get().init_info();
+    info.set_name("old-agent");
+    info.set_address("127.0.0.1:1");
+    info.set_version(version);
+    req.get().set_seen(seen);
+    let res = req.send().promise.await.expect("entry answers");
+    res.get().expect("answer can be read").has_document()
+}
+
 on_loopback! {
     change_is_in_force_in_every_process(it, 2, 3) {
         let version = check_accepted(&it, 5000);
@@ -172,6 +191,21 @@
         panic!("agents never greeted the new entry");
     }
 
+    unreadable_version_is_left_aside(it, 1, 2) {
+        it.write_row("fleet", 1, &json!({"from_the_future": 1}).to_string()).await;
+        sleep(Duration::from_secs(1)).await;
+        check_stays(&it, 1, 5).await;
+        let request = json!({"team": "coop", "body": {}});
+        assert_eq!(it.send(0, "request", &request).await.outcome(), "done");
+    }
+
+    document_that_an_agent_refused_is_not_sent_again(it, 1, 1) {
+        let version = check_accepted(&it, 5000);
+        check_in_force(&it, version).await;
+        assert!(is_taught(&it, 1, 1).await);
+        assert!(!is_taught(&it, 1, version).await);
+    }
+
     faulty_change_is_refused_whole(it, 1, 1) {
         let cases: [(&[&str], i32, &str); 6] = [
             (&["exception-add", "ledger", "slots=4"], 1, "exceptions[0].reason"),
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -143,7 +143,8 @@
 interface Entry {
   # An agent announces itself, and learns of entries and configuration.
   # Whoever has the newer document sends it; the agent only once it knows that the entry is behind.
-  greet @0 (info :AgentInfo, document :Text) -> (entries :List(Text), version :UInt64, document :Text);
+  # seen is the highest version the agent was sent; it may not be able to read it.
+  greet @0 (info :AgentInfo, document :Text, seen :UInt64) -> (entries :List(Text), version :UInt64, document :Text);
 }
 
 interface Agent {
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -5667,11 +5667,15 @@
             pub fn has_document(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_seen(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5753,6 +5757,14 @@
             pub fn has_document(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_seen(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_seen(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5767,38 +5779,45 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(100, 77, 143, 204, 119, 153, 194, 142),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
                 ::capnp::word(121, 46, 103, 114, 101, 101, 116, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(139, 74, 121, 151, 229, 195, 202, 156),
@@ -5816,11 +5835,20 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::egret_capnp::agent_info::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5834,9 +5862,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0x8ec2_9977_cc8f_4d64;
         }
     }
