--- a/crates/roster/src/homes.rs
+++ b/crates/roster/src/homes.rs
@@ -5,6 +5,10 @@
 
 /// What the rest of a program asks of the roster.
 pub trait Homes {
+    /// This process as the roster lists it now; `None` where it is no member.
+    /// A member that was removed but lives comes back under a new incarnation.
+    fn me(&self) -> Option<Member>;
+
     /// The home of a task; `None` while the roster is empty or unknown.
     fn home(&self, id: &TaskId) -> Option<Member>;
 
