--- a/crates/agent/src/greet.rs
+++ b/crates/agent/src/greet.rs
@@ -13,7 +13,7 @@
 use futures::future::join_all;
 use roster::Homes;
 use tokio::time::{sleep, timeout};
-use wire::{AgentInfo, Link, Load, dial, write_info};
+use wire::{AgentInfo, Link, Load, Method, dial, write_info};
 
 use crate::run::{Inspect, Runner};
 
@@ -165,7 +165,9 @@
     ) -> wire::Result<u64> {
         let load = self.state.runner.send(Inspect).await.unwrap_or_default();
         let mut req = link.entry()?.greet_request();
+        Method::Greet.sent();
         write_info(req.get().init_info(), &self.info(load, snapshot.version));
+        req.get().set_seen(self.state.fleet.seen());
         if let Some(document) = document {
             req.get().set_document(document);
         }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -4,7 +4,7 @@
     metrics::{family::Family, gauge::Gauge},
     registry::Registry,
 };
-use wire::{Load, Traffic};
+use wire::{Load, Method, Traffic};
 
 use crate::run::Kept;
 
@@ -23,6 +23,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
 /// The figures of this moment, as Prometheus reads them.
 ///
 /// # Errors
@@ -58,7 +63,17 @@
         family.get_or_create(&set).set(value as i64);
         registry.register(name, help, family);
     }
+    register_calls(&mut registry);
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
+
+fn register_calls(registry: &mut Registry) {
+    let calls = Family::<ByMethod, Gauge>::default();
+    for method in Method::ALL {
+        let labels = ByMethod { method: method.as_str() };
+        calls.get_or_create(&labels).set(method.count() as i64);
+    }
+    registry.register("egret_calls", "Calls to other processes by method", calls);
+}
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -174,6 +174,28 @@
         versions
     }
 
+    /// A figure of the metrics page of an entry or agent.
+    pub async fn figure(&self, port: u16, name: &str) -> Option<u64> {
+        let page = fetch(&format!("http://127.0.0.1:{port}/metrics")).await?;
+        figure(&String::from_utf8_lossy(&page), name)
+    }
+
+    /// Starts one more entry, which no settings name.
+    pub fn add_entry(&mut self) {
+        self.entry_ports.push(free_port());
+        self.entry_rpc_ports.push(free_port());
+        let entry = self.start_entry(self.entries.len());
+        self.entries.push(entry);
+    }
+
+    /// Writes a row of the platform's table over the version expected.
+    pub async fn write_row(&self, key: &str, expected: u64, value: &str) {
+        let url = format!("http://127.0.0.1:{}/tables/egret/{key}", self.platform_port);
+        let req = Client::default().put(url).insert_header(("if-match", expected.to_string()));
+        let res = req.send_body(value.to_owned()).await.expect("platform answers");
+        assert!(res.status().is_success(), "row {key} is not at version {expected}");
+    }
+
     /// How often each task was started, over all backend servers that answer.
     pub async fn starts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
@@ -219,9 +241,7 @@
 
     async fn write_fleet(&self) {
         let fleet = json!({ "services": { "ledger": { "teams": { "coop": {}, "mill": {} } } } });
-        let url = format!("http://127.0.0.1:{}/tables/egret/fleet", self.platform_port);
-        let req = Client::default().put(url).insert_header(("if-match", "0"));
-        req.send_body(fleet.to_string()).await.expect("fleet is written");
+        self.write_row("fleet", 0, &fleet.to_string()).await;
     }
 
     fn start_with(&self, program: &str, name: &str, settings: &Value) -> Process {
