--- a/crates/roster/tests/protocol/model.rs
+++ b/crates/roster/tests/protocol/model.rs
@@ -60,7 +60,7 @@
             world.offer(i, &id);
         }
         20..50 if !keys.is_empty() => {
-            let newest = keys.len().saturating_sub(8);
+            let newest = keys.len().saturating_sub(25);
             let k = world.rng.random_range(newest..keys.len());
             world.offer(i, &keys[k]);
         }
