--- a/crates/roster/src/membership.rs
+++ b/crates/roster/src/membership.rs
@@ -159,7 +159,7 @@
     pub fn is_stuck(&self, now: Instant) -> bool {
         let limit = self.settings.suspect;
         let lost = self.others().iter().any(|m| self.contacts.is_silent(m, limit, now));
-        self.is_listed() && lost && self.lost(now).is_empty()
+        self.is_listed() && lost && !self.can_replace(now)
     }
 
     /// Time passes: heartbeats, reads, and whatever became due.
@@ -632,9 +632,14 @@
         };
         let listed = self.roster.members.iter().chain(&self.roster.leaving);
         let lost: Vec<_> = listed.filter(|m| gone(m)).cloned().collect();
+        if self.can_replace(now) { lost } else { Vec::new() }
+    }
+
+    /// Whether enough of the old roster are left to break every majority of it.
+    fn can_replace(&self, now: Instant) -> bool {
         let base = if self.roster.settled { &self.roster.members } else { &self.roster.base };
         let left = base.iter().filter(|m| self.is_left(m, now)).count();
-        if left > base.len() - majority(base.len()) { lost } else { Vec::new() }
+        left > base.len() - majority(base.len())
     }
 
     fn is_left(&self, member: &Member, now: Instant) -> bool {
--- a/crates/roster/tests/protocol/recovery.rs
+++ b/crates/roster/tests/protocol/recovery.rs
@@ -98,6 +98,9 @@
             world.run(10);
         }
         world.run(100);
+        for node in &world.nodes[1..] {
+            assert!(!node.member.is_stuck(node.now(world.at).at), "three of four are left");
+        }
         let id = world.key(&[(&[0, 1, 2, 3], 1)]);
         world.submit(2, &id);
         assert!(unsettled(&world));
