--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -4,6 +4,11 @@
 
 use crate::{Entitled, Shares};
 
+/// Use over its share that a team may reach before it is refused.
+const SLACK: f64 = 1.1;
+/// The same where the wait is long.
+const FULL: f64 = 0.98;
+
 /// Settings of admission.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -11,6 +16,10 @@
     pub lend_below: f64,
     /// share of the time left beside the run that may be spent waiting, 0 to 1
     pub wait_share: f64,
+    /// wait beyond which only submissions with much time left are taken
+    pub long_wait: Duration,
+    /// share of the time left that may be spent on a longer wait, 0 to 1
+    pub long_wait_share: f64,
     /// shortest time to come back
     pub min_retry: Duration,
     /// longest time to come back
@@ -22,6 +31,8 @@
         Self {
             lend_below: 0.75,
             wait_share: 0.6,
+            long_wait: Duration::from_millis(500),
+            long_wait_share: 0.05,
             min_retry: Duration::from_millis(100),
             max_retry: Duration::from_secs(30),
         }
@@ -90,19 +101,32 @@
         spread: f64,
         now: Instant,
     ) -> Result<(), Refusal> {
+        self.shares.ask(asked.team, asked.entitled.weight, asked.tasks, now);
         let run = pressure.own_work(asked.tasks);
-        let spare = asked.left.saturating_sub(run).mul_f64(self.settings.wait_share);
+        let spare = self.most_wait(asked.left, run);
         if run > asked.left || pressure.wait > spare {
             return Err(self.refuse(Why::Backlog, pressure.wait.max(run), spread));
         }
-        let ratio = self.shares.ratio(asked.team, asked.entitled, now);
-        if ratio > 1.0 && self.is_pressed(asked.entitled, pressure) {
-            return Err(self.refuse(Why::Quota, Shares::time_to_share(ratio), spread));
+        if self.is_pressed(asked.entitled, pressure) {
+            let ratio = self.shares.ratio(asked.team, asked.entitled, now);
+            // the upper half of the wait is for teams below their share
+            let most = if pressure.wait > spare / 2 { FULL } else { SLACK };
+            if ratio > most {
+                return Err(self.refuse(Why::Quota, Shares::time_to_share(ratio), spread));
+            }
         }
-        self.shares.add(asked.team, asked.entitled.weight, asked.tasks, now);
+        self.shares.take(asked.team, asked.tasks);
         Ok(())
     }
 
+    /// Longest wait with which a submission is taken. It is bounded for all
+    /// alike, or else work with late deadlines would crowd out the rest.
+    fn most_wait(&self, left: Duration, run: Duration) -> Duration {
+        let Settings { wait_share, long_wait_share, long_wait, .. } = self.settings;
+        let bound = left.mul_f64(long_wait_share).max(long_wait);
+        left.saturating_sub(run).mul_f64(wait_share).min(bound)
+    }
+
     /// Whether what a team takes over its share is missing to others. Quotas
     /// leave some slots free; without one, a team may take all that is idle.
     fn is_pressed(&self, entitled: Entitled, pressure: Pressure) -> bool {
--- a/crates/admit/src/budget.rs
+++ b/crates/admit/src/budget.rs
@@ -9,7 +9,7 @@
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        Self { share: 0.1, most: 20.0 }
+        Self { share: 0.1, most: 100.0 }
     }
 }
 
--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -9,8 +9,9 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// A team below this rate, in tasks a second, is not counted as active.
 const ACTIVE: f64 = 0.1;
-/// Use over its share that a team may reach before it counts as over.
-const SLACK: f64 = 1.1;
+
+/// Share by which sums of rates may be off.
+const ROUNDING: f64 = 1e-6;
 
 /// What a team may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -21,7 +22,7 @@
     pub quota: Option<f64>,
 }
 
-/// What each team has taken lately, in tasks a second.
+/// What each team has asked for and taken lately, in tasks a second.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     teams: HashMap<Name, Use>,
@@ -29,25 +30,34 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Use {
-    rate: f64,
+    asked: f64,
+    taken: f64,
     weight: f64,
     at: Instant,
 }
 
 impl Shares {
-    /// Notes admitted tasks.
-    pub fn add(&mut self, team: &Name, weight: f64, tasks: usize, now: Instant) {
-        let seen = self.teams.entry(team.clone()).or_insert(Use { rate: 0.0, weight, at: now });
-        seen.rate = seen.rate_at(now) + tasks as f64 / WINDOW.as_secs_f64();
+    /// Notes tasks that a team asks for.
+    pub fn ask(&mut self, team: &Name, weight: f64, tasks: usize, now: Instant) {
+        let unseen = Use { asked: 0.0, taken: 0.0, weight, at: now };
+        let seen = self.teams.entry(team.clone()).or_insert(unseen);
+        *seen = seen.at(now);
+        seen.asked += tasks as f64 / WINDOW.as_secs_f64();
         seen.weight = weight;
-        seen.at = now;
     }
 
-    /// Use of a team over what it is entitled to; 1 is all of it.
+    /// Notes that tasks asked for were admitted.
+    pub fn take(&mut self, team: &Name, tasks: usize) {
+        if let Some(seen) = self.teams.get_mut(team) {
+            seen.taken += tasks as f64 / WINDOW.as_secs_f64();
+        }
+    }
+
+    /// What a team has taken over what it is entitled to; 1 is all of it.
     pub fn ratio(&self, team: &Name, entitled: Entitled, now: Instant) -> f64 {
         let Some(seen) = self.teams.get(team) else { return 0.0 };
-        let most = entitled.quota.unwrap_or_else(|| self.fair(entitled.weight, now));
-        seen.rate_at(now) / (most * SLACK).max(f64::MIN_POSITIVE)
+        let most = entitled.quota.unwrap_or_else(|| self.level(now) * entitled.weight);
+        seen.at(now).taken / most.max(f64::MIN_POSITIVE)
     }
 
     /// Time until a use falls back to what it is entitled to.
@@ -55,18 +65,38 @@
         WINDOW.mul_f64(ratio.max(1.0).ln())
     }
 
-    /// The part of all use that a weight stands for among the active teams.
-    fn fair(&self, weight: f64, now: Instant) -> f64 {
-        let active = || self.teams.values().filter(|u| u.rate_at(now) > ACTIVE);
-        let rate: f64 = active().map(|u| u.rate_at(now)).sum();
-        let weights: f64 = active().map(|u| u.weight).sum();
-        rate * weight / weights.max(weight)
+    /// Rate for each unit of weight when all that is taken is shared out
+    /// fairly, and what a team does not ask for goes to the others.
+    fn level(&self, now: Instant) -> f64 {
+        let active = self.teams.values().map(|u| u.at(now)).filter(|u| u.asked > ACTIVE);
+        let mut active: Vec<Use> = active.collect();
+        if active.len() < 2 {
+            return f64::INFINITY;
+        }
+        active.sort_unstable_by(|a, b| a.want().total_cmp(&b.want()));
+        let mut left: f64 = active.iter().map(|u| u.taken).sum();
+        let mut weights: f64 = active.iter().map(|u| u.weight).sum();
+        for team in &active {
+            if team.want() * weights > left * (1.0 + ROUNDING) {
+                return left / weights;
+            }
+            left -= team.asked;
+            weights -= team.weight;
+        }
+        f64::INFINITY
     }
 }
 
 impl Use {
-    fn rate_at(&self, now: Instant) -> f64 {
+    /// What it is at a later time.
+    fn at(&self, now: Instant) -> Self {
         let age = now.saturating_duration_since(self.at);
-        self.rate * (-age.as_secs_f64() / WINDOW.as_secs_f64()).exp()
+        let kept = (-age.as_secs_f64() / WINDOW.as_secs_f64()).exp();
+        Self { asked: self.asked * kept, taken: self.taken * kept, at: now, ..*self }
+    }
+
+    /// Rate asked for by unit of weight.
+    fn want(&self) -> f64 {
+        self.asked / self.weight.max(f64::MIN_POSITIVE)
     }
 }
--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -147,7 +147,8 @@
     async fn try_agents(&self, task: Task) -> Result<Answer> {
         let mut last = no_agent();
         let mut tried: Vec<Name> = Vec::new();
-        while tried.len() < MAX_TRIES && (tried.is_empty() || self.may_retry()) {
+        let mut free = true;
+        while tried.len() < MAX_TRIES && (free || self.may_retry()) {
             let skip = |peer: &Peer| tried.contains(&peer.name);
             let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &skip) else {
                 break;
@@ -165,6 +166,8 @@
                 Tried::Unsent => {}
                 Tried::Lost(why) => return Ok(Answer::unknown(&why)),
             }
+            // work of an agent that is leaving has to move, however much it is
+            free = !chosen.peer.is_ready();
         }
         Ok(last)
     }
--- a/crates/entry/src/call/keyed.rs
+++ b/crates/entry/src/call/keyed.rs
@@ -23,6 +23,8 @@
     task: Task,
     /// why the task is not admitted
     refusal: Option<Answer>,
+    /// the last agent takes no new work, so the task has to move
+    moved: bool,
     call: Call,
     refusals: u32,
     pause: Duration,
@@ -33,7 +35,7 @@
     /// a start that it finds.
     pub fn new(dispatcher: &'a Dispatcher, task: Task, refusal: Option<Answer>) -> Self {
         let call = Call::new(no_agent());
-        Self { dispatcher, task, refusal, call, refusals: 0, pause: FIRST_PAUSE }
+        Self { dispatcher, task, refusal, moved: false, call, refusals: 0, pause: FIRST_PAUSE }
     }
 
     /// Follows the call to its answer; the deadline is kept outside.
@@ -66,6 +68,7 @@
             return Event::NoAgent(no_agent());
         };
         let tried = self.dispatcher.offer(&chosen, &self.task).await;
+        self.moved = !chosen.peer.is_ready();
         drop(chosen);
         match tried {
             Tried::Replied(reply) => self.replied(reply).await,
@@ -88,7 +91,7 @@
     async fn declined(&mut self, answer: Answer) -> Event {
         let refused = answer.outcome == Outcome::NotRun;
         self.refusals += u32::from(refused);
-        if refused && !self.dispatcher.may_retry() {
+        if refused && !self.moved && !self.dispatcher.may_retry() {
             return Event::NoAgent(answer);
         }
         self.rest().await;
@@ -166,10 +169,11 @@
         self.pause = (self.pause * 2).min(MAX_PAUSE);
     }
 
-    /// A caller that comes back sooner would meet its own bar.
+    /// A caller that comes back sooner would meet its own bar. The time is
+    /// added, so that callers still come back spread out.
     fn with_retry(&self, mut answer: Answer) -> Answer {
-        if answer.outcome == Outcome::NotRun {
-            answer.retry_after = answer.retry_after.max(self.dispatcher.bar_retry);
+        if answer.outcome == Outcome::NotRun && answer.retry_after < self.dispatcher.bar_retry {
+            answer.retry_after += self.dispatcher.bar_retry;
         }
         answer
     }
