--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,7 +13,7 @@
     },
     registry::Registry,
 };
-use wire::Traffic;
+use wire::{Method, Traffic};
 
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -38,6 +38,11 @@
     code: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
 /// What a caller sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -93,6 +98,7 @@
     latency: Family<ByService, Histogram>,
     in_flight: Family<ByService, Gauge>,
     refused: Family<ByCode, Counter>,
+    calls: Family<ByMethod, Gauge<u64, AtomicU64>>,
     decisions: Family<ByDecision, Counter>,
     agents: Gauge,
     version: Gauge<u64, AtomicU64>,
@@ -121,6 +127,7 @@
             latency: Family::new_with_constructor(histogram),
             in_flight: Family::default(),
             refused: Family::default(),
+            calls: Family::default(),
             decisions: Family::default(),
             agents: Gauge::default(),
             version: Gauge::default(),
@@ -171,6 +178,10 @@
         self.version.set(version);
         self.agents.set(agents as i64);
         self.broken.set(base::broken_count());
+        for method in Method::ALL {
+            let labels = ByMethod { method: method.as_str() };
+            self.calls.get_or_create(&labels).set(method.count());
+        }
         let traffic = Traffic::now();
         self.received.set(traffic.received);
         self.sent.set(traffic.sent);
@@ -189,6 +200,7 @@
         let decisions = self.decisions.clone();
         r.register("egret_decisions", "Offers, retries and refusals of the policy", decisions);
         r.register("egret_agents", "Agents that greet this entry", self.agents.clone());
+        r.register("egret_calls", "Calls to agents by method", self.calls.clone());
         let version = self.version.clone();
         r.register("egret_configuration_version", "Fleet configuration in force", version);
         let broken = self.broken.clone();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! typed messages that the rest of the code works with.
 
 mod answer;
+mod beat;
 mod claim;
 mod door;
 #[allow(clippy::all, clippy::unimplemented, clippy::wildcard_imports)]
@@ -11,11 +12,13 @@
 mod info;
 mod link;
 mod links;
+mod method;
 mod task;
 mod text;
 mod traffic;
 
 pub use answer::{Reply, read_reply, write_answer, write_reply};
+pub use beat::{read_beat, read_roster, write_beat};
 pub use claim::{
     read_claim, read_grant, read_ids, read_member, read_record, write_claim, write_grant,
     write_member, write_record,
@@ -24,6 +27,7 @@
 pub use info::{AgentInfo, Load, Room, read_info, read_load, write_info, write_load};
 pub use link::{Link, dial, serve};
 pub use links::Links;
+pub use method::Method;
 pub use task::{read_id, read_task, write_id, write_task};
 pub use traffic::{Frames, Traffic};
 
