--- a/crates/entry/src/call/dispatcher.rs
+++ b/crates/entry/src/call/dispatcher.rs
@@ -147,8 +147,8 @@
     async fn try_agents(&self, task: Task) -> Result<Answer> {
         let mut last = no_agent();
         let mut tried: Vec<Name> = Vec::new();
-        let mut again = true;
-        while again && tried.len() < MAX_TRIES {
+        let mut free = true;
+        while tried.len() < MAX_TRIES && (free || self.may_retry()) {
             let skip = |peer: &Peer| tried.contains(&peer.name);
             let Some(chosen) = self.chooser.choose(&task.service, &task.operation, &skip) else {
                 break;
@@ -162,16 +162,13 @@
                 Tried::Replied(Reply::Answer(answer)) if answer.outcome != Outcome::NotRun => {
                     return Ok(answer);
                 }
-                Tried::Replied(Reply::Answer(answer) | Reply::Declined(answer)) => {
-                    // an agent that took the task and can't run it asks for no wait
-                    again = answer.retry_after.is_zero() || self.may_retry();
-                    last = answer;
-                }
-                Tried::Unsent => again = self.may_retry(),
+                Tried::Replied(Reply::Answer(answer) | Reply::Declined(answer)) => last = answer,
+                Tried::Unsent => {}
                 Tried::Lost(why) => return Ok(Answer::unknown(&why)),
             }
+            // work of an agent that is leaving has to move, however much it is
+            free = !chosen.peer.is_ready();
         }
-        last.retry_after = last.retry_after.max(RETRY_AFTER);
         Ok(last)
     }
 
