Process tests: a fleet token of its own for each deployment

Cause (likely, not proved): on a machine where several runs go on side by side, a process of one run can dial a port of another; with one shared token it was let in. Change: the token carries the process and the platform's port. Two tests that wrote the token out ask the deployment for it; what they check is the same.

--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -10,7 +10,6 @@
     tool::{Ran, Tool},
 };
 
-const TOKEN: &str = "proof";
 const WAIT_STEP: Duration = Duration::from_millis(50);
 const WAIT_STEPS: u32 = 200;
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
@@ -80,13 +79,19 @@
         it
     }
 
+    /// Its own, so that a process of another run that dials a port of its own
+    /// past is refused.
+    pub fn token(&self) -> String {
+        format!("proof-{}-{}", std::process::id(), self.platform_port)
+    }
+
     pub fn start_entry(&self, i: usize) -> Process {
         let settings = json!({
             "name": format!("entry-{i}"),
             "http": format!("127.0.0.1:{}", self.entry_ports[i]),
             "rpc": format!("127.0.0.1:{}", self.entry_rpc_ports[i]),
             "platform": format!("http://127.0.0.1:{}", self.platform_port),
-            "token": TOKEN,
+            "token": self.token(),
             "poll_ms": 200,
             "warm_ms": 400,
             "unready_ms": 100,
@@ -106,7 +111,7 @@
             "rpc": format!("127.0.0.1:{}", self.agent_rpc_ports[i]),
             "entries": entries,
             "platform": format!("http://127.0.0.1:{}", self.platform_port),
-            "token": TOKEN,
+            "token": self.token(),
             "beat_ms": 100,
             "heartbeat_ms": 150,
             "lease_ms": 1000,
@@ -145,7 +150,7 @@
         let mut all = vec![
             format!("--platform=http://127.0.0.1:{}", self.platform_port),
             format!("--entry=http://127.0.0.1:{}", self.entry_ports[entry]),
-            format!("--token={TOKEN}"),
+            format!("--token={}", self.token()),
         ];
         all.extend(args.iter().map(|a| (*a).to_owned()));
         Tool::start(&all)
--- a/crates/proof/tests/bad_input.rs
+++ b/crates/proof/tests/bad_input.rs
@@ -90,6 +90,6 @@
     wrong_token(it) {
         let refused = dial(rpc_address(&it), &Token::new("guess")).await;
         assert!(matches!(refused, Err(wire::Error::Refused { .. })));
-        assert!(dial(rpc_address(&it), &Token::new("proof")).await.is_ok());
+        assert!(dial(rpc_address(&it), &Token::new(&it.token())).await.is_ok());
     }
 }
--- a/crates/proof/tests/config.rs
+++ b/crates/proof/tests/config.rs
@@ -78,7 +78,7 @@
 /// force and has seen another.
 async fn is_taught(it: &Deployment, version: u64, seen: u64) -> bool {
     let address = SocketAddr::from(([127, 0, 0, 1], it.entry_rpc_ports[0]));
-    let link = wire::dial(address, &Token::new("proof")).await.expect("entry is there");
+    let link = wire::dial(address, &Token::new(&it.token())).await.expect("entry is there");
     let mut req = link.entry().expect("it is an entry").greet_request();
     let mut info = req.get().init_info();
     info.set_name("old-agent");
