egretctl roster and confirm-loss

Cause: a roster that lost half or more of its members at once waits for an operator's word, and no command gave it. Change: confirm-loss changes the roster's row by compare-and-set, with author and reason; a roster query shows members and what was confirmed. Tests: losses_are_confirmed_with_a_reason.

--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -66,6 +66,10 @@
                     println!("configuration version {version}");
                     Ok(ExitCode::SUCCESS)
                 }
+                Handled::Roster(version) => {
+                    println!("roster version {version}");
+                    Ok(ExitCode::SUCCESS)
+                }
                 Handled::Other(verb) => self.query(verb).await.map(|()| ExitCode::SUCCESS),
             },
         }
@@ -92,6 +96,12 @@
             Verb::ExceptionRemove { service, names } => {
                 commands::remove_exception(fleet, author, &service.into(), names).await
             }
+            Verb::ConfirmLoss { reason, service, agents } => {
+                let lost: Vec<_> = agents.into_iter().map(Into::into).collect();
+                let version =
+                    commands::confirm_loss(fleet, author, &service, &lost, &reason).await?;
+                return Ok(Handled::Roster(version));
+            }
             verb => return Ok(Handled::Other(verb)),
         };
         version.map(Handled::Changed)
@@ -105,6 +115,7 @@
             Verb::Defaults { format, service } => {
                 queries::defaults(fleet, service.as_deref(), format).await
             }
+            Verb::Roster { format, service } => queries::roster(fleet, &service, format).await,
             Verb::Agents { format } => queries::agents(entry, format).await,
             Verb::Entries { format } => queries::entries(fleet, entry, format).await,
             Verb::Burn { html, format } => queries::burn(fleet, html.as_deref(), format).await,
@@ -122,9 +133,10 @@
     }
 }
 
-/// A verb that changed the configuration, or one that doesn't.
+/// A verb that changed the configuration or a roster, or one that doesn't.
 enum Handled {
     Changed(Version),
+    Roster(Version),
     Other(Verb),
 }
 
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -110,6 +110,28 @@
         #[bpaf(positional("NAME"), some("name what goes back"))]
         names: Vec<String>,
     },
+    /// Confirm that agents are lost for good, when the rest of a roster is stuck
+    ///
+    /// Only when their VMs are known to be gone: one that still lives may start work twice.
+    /// Example: egretctl --author ana confirm-loss ledger agent-1 agent-2 --reason 'rack 3 burnt'
+    #[bpaf(command("confirm-loss"))]
+    ConfirmLoss {
+        /// why, for the next person on duty
+        #[bpaf(long, argument("TEXT"), fallback(String::new()))]
+        reason: String,
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+        #[bpaf(positional("AGENT"), some("name the agents"))]
+        agents: Vec<String>,
+    },
+    /// Show the roster of a service
+    #[bpaf(command("roster"))]
+    Roster {
+        #[bpaf(external)]
+        format: Format,
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+    },
     /// Let an agent take no new work
     #[bpaf(command("drain"))]
     Drain {
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod defaults;
 mod drain;
 mod exception;
+mod loss;
 mod service;
 mod submit;
 
@@ -12,5 +13,6 @@
 pub use defaults::{Setting, clear_defaults, set_defaults};
 pub use drain::{Turn, drain};
 pub use exception::{add_exception, remove_exception};
+pub use loss::confirm_loss;
 pub use service::{Grant, change_service, create_service, remove_service};
 pub use submit::{Work, submit};
--- a/crates/ctl/src/queries/mod.rs
+++ b/crates/ctl/src/queries/mod.rs
@@ -7,6 +7,7 @@
 mod exceptions;
 mod format;
 mod history;
+mod roster;
 mod services;
 mod status;
 
@@ -17,5 +18,6 @@
 pub use exceptions::exceptions;
 pub use format::{Format, format};
 pub use history::history;
+pub use roster::roster;
 pub use services::services;
 pub use status::status;
--- a/crates/proof/tests/operate.rs
+++ b/crates/proof/tests/operate.rs
@@ -14,7 +14,8 @@
     ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
         $(#[actix_web::test]
         async fn $name() {
-            let $deployment = Deployment::start($entries, $agents).await;
+            #[allow(unused_mut)]
+            let mut $deployment = Deployment::start($entries, $agents).await;
             $body
         })*
     };
@@ -151,6 +152,20 @@
         assert!((1..=5).contains(&claims), "{claims}");
     }
 
+    losses_are_confirmed_with_a_reason(it, 1, 3) {
+        check_shown(&it, &["roster", "ledger"], "/settled", &json!(true)).await;
+        let confirm = |rest: &[&'static str]| [&["--author=ana", "confirm-loss"], rest].concat();
+        check_code(&it, &confirm(&["ledger", "agent-2"]), 1);
+        check_code(&it, &confirm(&["ledger", "nobody", "--reason", "r"]), 1);
+        check_code(&it, &confirm(&["nothing", "agent-2", "--reason", "r"]), 1);
+        it.agents[2].kill();
+        check_code(&it, &confirm(&["ledger", "agent-2", "--reason", "rack 3 burnt"]), 0);
+        let shown = query(&it, &["roster", "ledger"]);
+        assert_eq!(shown["members"].as_array().map(Vec::len), Some(3), "{shown}");
+        assert_eq!(shown["confirmed"]["reason"], "rack 3 burnt");
+        assert_eq!(shown["confirmed"]["author"], "ana");
+    }
+
     settings_are_checked_whole(it, 1, 1) {
         let settings = json!({"slots": "many", "beet_ms": 5, "beat_ms": 1, "service": "a b"});
         let file = write_file(&it, "settings.json", &settings);
