Each test program has its ports to itself

Cause: two test programs side by side could draw from overlapping ports, and a port is free while the process that had it restarts. Seen once: 2 of 6 roster tests, in both the same restarted agent never came back, adjacent ports, while other programs ran; alone 2 of 2 runs passed. That the port was taken is likely and not shown. Change: a test program reserves a window of 250 ports by listening on its first one.

--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,9 +1,10 @@
 use std::{
     env, fs,
     net::TcpListener,
+    ops::Range,
     path::PathBuf,
     process::{self, Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
@@ -16,9 +17,8 @@
 const POLL: Duration = Duration::from_millis(10);
 
 const FIRST_PORT: u16 = 10_000;
-const PORTS: u32 = 22_000;
-/// Distance between the first ports of two test programs.
-const STRIDE: u32 = 1009;
+const WINDOWS: u32 = 88;
+const WINDOW_PORTS: u16 = 250;
 
 /// A process started by a test; killed when dropped.
 pub struct Process {
@@ -75,16 +75,43 @@
 }
 
 /// A port that was free a moment ago. It lies below the range from which the
-/// machine takes ports for connections, and test programs start far apart.
+/// machine takes ports for connections, in a window that no other test program
+/// uses: not even while the process that had the port restarts.
 pub fn free_port() -> u16 {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = process::id().wrapping_mul(STRIDE);
+    static RESERVED: Mutex<Vec<Window>> = Mutex::new(Vec::new());
+    let mut windows = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
-        let place = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + (place % PORTS) as u16;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        if let Some(port) = windows.last_mut().and_then(Iterator::next) {
             return port;
         }
+        windows.push(Window::reserve());
+    }
+}
+
+/// Ports that this test program has to itself.
+struct Window {
+    /// listens on the first port for as long as the program runs
+    _guard: TcpListener,
+    ports: Range<u16>,
+}
+
+impl Window {
+    fn reserve() -> Self {
+        let start = process::id();
+        let found = (0..WINDOWS).find_map(|i| {
+            let first = FIRST_PORT + (start.wrapping_add(i) % WINDOWS) as u16 * WINDOW_PORTS;
+            let guard = TcpListener::bind(("127.0.0.1", first)).ok()?;
+            Some(Self { _guard: guard, ports: first + 1..first + WINDOW_PORTS })
+        });
+        found.expect("a window of ports is free")
+    }
+}
+
+impl Iterator for Window {
+    type Item = u16;
+
+    fn next(&mut self) -> Option<u16> {
+        self.ports.find(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok())
     }
 }
 
