--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -33,7 +33,7 @@
             wait_share: 0.6,
             long_wait: Duration::from_millis(500),
             long_wait_share: 0.05,
-            min_retry: Duration::from_millis(100),
+            min_retry: Duration::from_millis(500),
             max_retry: Duration::from_secs(30),
         }
     }
--- a/crates/admit/tests/admit.rs
+++ b/crates/admit/tests/admit.rs
@@ -92,7 +92,7 @@
             Err(refusal) => {
                 assert!(!fits && refusal.why == Why::Backlog);
                 let base = refusal.retry_after.div_f64(1.0 + spread);
-                assert!(base >= Duration::from_millis(99));
+                assert!(base >= Settings::default().min_retry.mul_f64(0.99));
             }
         }
     }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -184,7 +184,7 @@
             heartbeat_ms: 1500,
             lease_ms: 5000,
             suspect_ms: 4000,
-            renew_ms: 3000,
+            renew_ms: 2000,
             retention_ms: RETENTION_MS,
             skew_ms: SKEW_MS,
             records: 200_000,
