A program that can't listen says so and ends

Cause: an agent whose HTTP port was taken panicked with 'there is no reactor running': its actors had started, and dropping them outside the runtime with the error hid 'can't listen'. Seen once in a restart after a kill, and now by by_an_agent (new), which failed. Ruled out: the roster, the restart itself. Change: both ports are taken before anything starts, in agent and entry. Before: by_an_agent failed, by_an_entry passed. After: both pass.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -1,5 +1,5 @@
 use std::{
-    net::SocketAddr,
+    net::{self, SocketAddr},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -51,6 +51,8 @@
 
 async fn serve(settings: AgentSettings) -> Result<()> {
     let settings = Rc::new(settings);
+    // both ports before anything starts: a program that can't listen ends at once
+    let http = listen_http(settings.http)?;
     let listener = listen(settings.rpc).await?;
     let identity = Identity::new(&settings, clock_micros());
     let platform = Rc::new(HttpPlatform::new(&settings.platform));
@@ -68,7 +70,7 @@
     let door = Door::for_agent(settings.token.clone(), capnp_rpc::new_client(rpc));
     actix::spawn(wire::serve(listener, door));
     peers.start(Hands { desk, runner: runner.clone() });
-    let server = http::start(&settings, runner.clone(), fleet.clone())?;
+    let server = http::start(http, &settings, runner.clone(), fleet.clone())?;
     greeter.start();
     actix::spawn(follow_limits(settings.clone(), fleet.clone(), runner.clone()));
     Event::Started.log(format_args!("{} for {}", settings.name, settings.service));
@@ -106,6 +108,10 @@
     TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })
 }
 
+fn listen_http(address: SocketAddr) -> Result<net::TcpListener> {
+    net::TcpListener::bind(address).map_err(|why| Error::Listen { address, why })
+}
+
 async fn stop_signal() {
     let (Ok(mut term), Ok(mut int)) =
         (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{net::TcpListener, sync::Arc};
 
 use actix::Addr;
 use actix_web::{
@@ -15,7 +15,11 @@
 };
 
 /// Starts the HTTP side: announcements of the backend server, health, metrics.
+///
+/// # Errors
+/// When the port can't be listened on.
 pub fn start(
+    listener: TcpListener,
     settings: &AgentSettings,
     runner: Addr<Runner>,
     fleet: Arc<Current>,
@@ -38,7 +42,7 @@
     let server = server
         .workers(1)
         .disable_signals()
-        .bind(address)
+        .listen(listener)
         .map_err(|why| Error::Listen { address, why })?
         .run();
     let handle = server.handle();
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,4 +1,5 @@
 use std::{
+    net,
     rc::Rc,
     sync::{
         Arc,
@@ -76,6 +77,9 @@
         stopping: Arc::default(),
         settings: Arc::new(settings),
     };
+    // both ports before anything starts: a program that can't listen ends at once
+    let address = shared.settings.http;
+    let http = net::TcpListener::bind(address).map_err(|why| Error::Listen { address, why })?;
     let address = shared.settings.rpc;
     let listener =
         TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })?;
@@ -98,7 +102,7 @@
     let period = Duration::from_millis(shared.settings.counts_ms);
     actix::spawn(keep_counts(keeper.clone(), period));
     actix::spawn(watch_silence(shared.agents.clone()));
-    let server = http::start(&shared)?;
+    let server = http::start(http, &shared)?;
     Event::Started.log(format_args!("{}", shared.settings.name));
 
     stop_signal().await;
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -1,3 +1,5 @@
+use std::net::TcpListener;
+
 use actix_web::{
     App, HttpServer,
     dev::ServerHandle,
@@ -11,7 +13,10 @@
 const SHUTDOWN_SECONDS: u64 = 120;
 
 /// Starts to serve callers.
-pub fn start(shared: &Shared) -> Result<ServerHandle> {
+///
+/// # Errors
+/// When the port can't be listened on.
+pub fn start(listener: TcpListener, shared: &Shared) -> Result<ServerHandle> {
     let address = shared.settings.http;
     let threads = shared.settings.threads;
     let shared = shared.clone();
@@ -37,7 +42,7 @@
         .workers(threads)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_SECONDS)
-        .bind(address)
+        .listen(listener)
         .map_err(|why| Error::Listen { address, why })?
         .run();
     let handle = server.handle();
--- /dev/null
+++ b/crates/proof/tests/start.rs
@@ -0,0 +1,36 @@
+//! A program that can't listen says so and ends.
+
+use std::{fs, net::TcpListener};
+
+use proof::{Tool, free_port};
+use serde_json::{Value, json};
+
+macro_rules! port_in_use_is_told {
+    ($($name:ident: $program:literal, $settings:expr)*) => {
+        $(#[test]
+        fn $name() {
+            check_told($program, $settings);
+        })*
+    };
+}
+
+fn check_told(program: &str, mut settings: Value) {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = taken.local_addr().expect("it is bound").to_string();
+    settings["http"] = json!(address);
+    settings["rpc"] = json!(format!("127.0.0.1:{}", free_port()));
+    settings["token"] = json!("start");
+    let path = std::env::temp_dir().join(format!("egret-start-{program}-{}", std::process::id()));
+    fs::write(&path, settings.to_string()).expect("settings are written");
+    let args = ["--settings".to_owned(), path.display().to_string()];
+    let ran = Tool::start_program(program, &args).finish();
+    fs::remove_file(&path).expect("it was there");
+    assert_eq!(ran.code, 1, "{}", ran.err);
+    assert!(ran.err.contains(&format!("can't listen on {address}")), "{}", ran.err);
+    assert!(!ran.err.contains("panicked"), "{}", ran.err);
+}
+
+port_in_use_is_told! {
+    by_an_entry: "egret-entry", json!({"name": "e"})
+    by_an_agent: "egret-agent", json!({"name": "a", "service": "s", "entries": ["127.0.0.1:1"]})
+}
