--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Many requests that are not repeatable, through both entries, while agents
 //! are killed, restarted and frozen at random. What callers are told is held
 //! against the starts. `EGRET_RUNS=n` sends n requests, `EGRET_SEED=n` changes
-//! the schedule.
+//! the schedule, `EGRET_CALM_MS=n` leaves that much more time between two faults.
 
 use std::{
     cell::{Cell, RefCell},
@@ -39,6 +39,7 @@
     seed: u64,
     next: Cell<u64>,
     requests: u64,
+    calm_ms: u64,
     told: RefCell<BTreeMap<String, Told>>,
     calling: Cell<u64>,
 }
@@ -92,7 +93,8 @@
     async fn disturb(self: Rc<Self>) {
         let mut rng = StdRng::seed_from_u64(self.seed);
         while self.calling.get() > 0 {
-            sleep(Duration::from_millis(rng.random_range(300..1500))).await;
+            let pause = rng.random_range(300..1500) + self.calm_ms;
+            sleep(Duration::from_millis(pause)).await;
             let at = rng.random_range(0..AGENTS);
             if rng.random_bool(0.5) {
                 self.it.borrow_mut().agents[at].kill();
@@ -140,6 +142,7 @@
         seed: setting("EGRET_SEED", SEED),
         next: Cell::new(0),
         requests: setting("EGRET_RUNS", REQUESTS),
+        calm_ms: setting("EGRET_CALM_MS", 0),
         told: RefCell::default(),
         calling: Cell::new(CALLERS),
     });
