What daemons have in common stands once: crate daemon; one on_loopback macro

Arguments, start-up, ports and the stop signal stood in agent, entry and stand-in; the macro that names cases on a deployment in six test files.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -1,5 +1,4 @@
 use std::{
-    net::{self, SocketAddr},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -8,17 +7,12 @@
 use actix::{Actor, Addr};
 use base::{Event, clock_micros};
 use conf::{AgentSettings, Current};
-use log::LevelFilter;
+use daemon::{listen, listen_http, stop_signal};
 use plat::HttpPlatform;
-use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
-    time::sleep,
-};
+use tokio::time::sleep;
 use wire::Door;
 
 use crate::{
-    Error, Result, cli,
     greet::{Greeter, Identity},
     home::{Claimer, Clock, Desk, holder},
     http,
@@ -38,18 +32,10 @@
 
 /// Runs an agent until it is told to stop.
 pub fn run() -> eyre::Result<()> {
-    let args = cli::args().run();
-    let settings: AgentSettings = conf::load(&args.settings)?;
-    if args.check_settings {
-        println!("{}: no faults", args.settings);
-        return Ok(());
-    }
-    base::start_logging(&settings.name, LevelFilter::Info)?;
-    actix::System::new().block_on(serve(settings))?;
-    Ok(())
+    daemon::run("Agent beside a backend server: queues tasks and runs them on it", serve)
 }
 
-async fn serve(settings: AgentSettings) -> Result<()> {
+async fn serve(settings: AgentSettings) -> daemon::Result<()> {
     let settings = Rc::new(settings);
     // both ports before anything starts: a program that can't listen ends at once
     let http = listen_http(settings.http)?;
@@ -104,26 +90,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })
-}
-
-fn listen_http(address: SocketAddr) -> Result<net::TcpListener> {
-    net::TcpListener::bind(address).map_err(|why| Error::Listen { address, why })
-}
-
-async fn stop_signal() {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
-
 /// Waits until nothing is queued or runs, the homes have heard of claims given
 /// up, and the last answers have left.
 async fn idle(runner: &Addr<Runner>, claimer: &Claimer) {
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -7,9 +7,9 @@
     web::{Data, Json, get, post},
 };
 use conf::{AgentSettings, Current};
+use daemon::{Error, Result};
 
 use crate::{
-    Error, Result,
     metrics::{self, Labels},
     run::{Announce, Inspect, Leave, Remembered, Runner},
 };
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,7 +3,6 @@
 //! connections.
 
 mod app;
-mod cli;
 mod greet;
 mod home;
 mod http;
@@ -13,14 +12,3 @@
 mod run;
 
 pub use app::run;
-
-/// What can go wrong in an agent.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    #[error(transparent)]
-    Settings(#[from] conf::Error),
-    #[error("can't listen on {address}: {why}")]
-    Listen { address: std::net::SocketAddr, why: std::io::Error },
-}
-
-pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -15,6 +15,9 @@
 
 /// Settings that can tell everything that is wrong with them.
 pub trait Check {
+    /// Name of the process in its logs.
+    fn name(&self) -> &str;
+
     fn faults(&self) -> Vec<Fault>;
 }
 
@@ -83,6 +86,10 @@
 }
 
 impl Check for EntrySettings {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
     fn faults(&self) -> Vec<Fault> {
         let mut faults = common(&self.name, &self.platform, &self.token);
         at_least("threads", self.threads as u64, 1, &mut faults);
@@ -194,6 +201,10 @@
 }
 
 impl Check for AgentSettings {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
     fn faults(&self) -> Vec<Fault> {
         let mut faults = common(&self.name, &self.platform, &self.token);
         if self.service.is_empty() {
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,21 @@
+//! What the daemons have in common: arguments, settings checked at start,
+//! logs, ports, and the signal to stop.
+
+mod args;
+mod listen;
+mod run;
+mod signal;
+
+pub use args::Args;
+pub use listen::{listen, listen_http};
+pub use run::run;
+pub use signal::stop_signal;
+
+/// What can keep a daemon from starting.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("can't listen on {address}: {why}")]
+    Listen { address: std::net::SocketAddr, why: std::io::Error },
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,27 @@
+use std::future::Future;
+
+use conf::Check;
+use log::LevelFilter;
+use serde::de::DeserializeOwned;
+
+use crate::{Args, Result};
+
+/// Loads and checks the settings, starts logging, and serves to the end.
+///
+/// # Errors
+/// When the settings have faults, or the daemon can't start.
+pub fn run<S, F>(about: &'static str, serve: impl FnOnce(S) -> F) -> eyre::Result<()>
+where
+    S: DeserializeOwned + Check,
+    F: Future<Output = Result<()>>,
+{
+    let args = Args::parse(about);
+    let settings: S = conf::load(&args.settings)?;
+    if args.check_settings {
+        println!("{}: no faults", args.settings);
+        return Ok(());
+    }
+    base::start_logging(settings.name(), LevelFilter::Info)?;
+    actix::System::new().block_on(serve(settings))?;
+    Ok(())
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,5 +1,4 @@
 use std::{
-    net,
     rc::Rc,
     sync::{
         Arc,
@@ -10,19 +9,13 @@
 
 use base::{Event, clock_micros};
 use conf::EntrySettings;
-use log::LevelFilter;
+use daemon::{listen, listen_http, stop_signal};
 use plat::HttpPlatform;
-use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
-    time::sleep,
-};
+use tokio::time::sleep;
 use wire::Door;
 
 use crate::{
-    Error, Result,
     call::Gate,
-    cli,
     counts::{Counts, Keeper},
     fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher, watch_silence},
     http,
@@ -49,18 +42,10 @@
 
 /// Runs an entry until it is told to stop.
 pub fn run() -> eyre::Result<()> {
-    let args = cli::args().run();
-    let settings: EntrySettings = conf::load(&args.settings)?;
-    if args.check_settings {
-        println!("{}: no faults", args.settings);
-        return Ok(());
-    }
-    base::start_logging(&settings.name, LevelFilter::Info)?;
-    actix::System::new().block_on(serve(settings))?;
-    Ok(())
+    daemon::run("Entry of egretshelf: takes requests from callers", serve)
 }
 
-async fn serve(settings: EntrySettings) -> Result<()> {
+async fn serve(settings: EntrySettings) -> daemon::Result<()> {
     let silence = Duration::from_millis(settings.silence_ms);
     let fleet = Arc::<Current>::default();
     let peers = Arc::<Peers>::default();
@@ -78,11 +63,8 @@
         settings: Arc::new(settings),
     };
     // both ports before anything starts: a program that can't listen ends at once
-    let address = shared.settings.http;
-    let http = net::TcpListener::bind(address).map_err(|why| Error::Listen { address, why })?;
-    let address = shared.settings.rpc;
-    let listener =
-        TcpListener::bind(address).await.map_err(|why| Error::Listen { address, why })?;
+    let http = listen_http(shared.settings.http)?;
+    let listener = listen(shared.settings.rpc).await?;
     let door = Door::for_entry(
         shared.settings.token.clone(),
         capnp_rpc::new_client(EntryRpc::new(shared.clone())),
@@ -118,15 +100,3 @@
 async fn keep_counts(keeper: Rc<Keeper>, period: Duration) {
     keeper.run(period).await;
 }
-
-async fn stop_signal() {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -6,9 +6,10 @@
     middleware::from_fn,
     web::{Data, PayloadConfig, get, post, resource},
 };
+use daemon::{Error, Result};
 
 use super::{admin, health, job, key, refusal::refusals, request};
-use crate::{Error, Result, app::Shared, call::Dispatcher};
+use crate::{app::Shared, call::Dispatcher};
 
 const SHUTDOWN_SECONDS: u64 = 120;
 
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,3 +11,16 @@
 pub use fleet::{Deployment, Sent, send};
 pub use process::{Process, free_port};
 pub use tool::{Ran, Tool};
+
+/// Runs each case on a deployment of its own: entries, agents, what is done.
+#[macro_export]
+macro_rules! on_loopback {
+    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
+        $(#[actix_web::test]
+        async fn $name() {
+            #[allow(unused_mut)]
+            let mut $deployment = Deployment::start($entries, $agents).await;
+            $body
+        })*
+    };
+}
--- a/crates/proof/tests/burn.rs
+++ b/crates/proof/tests/burn.rs
@@ -3,21 +3,10 @@
 use std::{fs, time::Duration};
 
 use nix::sys::signal::Signal;
-use proof::Deployment;
+use proof::{Deployment, on_loopback};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            #[allow(unused_mut)]
-            let mut $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 async fn send(it: &Deployment, entry: usize, count: usize) {
     for _ in 0..count {
         let body = json!({"team": "coop", "repeatable": true, "body": {"run_ms": 1}});
--- a/crates/proof/tests/callers.rs
+++ b/crates/proof/tests/callers.rs
@@ -4,22 +4,12 @@
 use std::process::Command;
 
 use awc::{Client, http::Method};
-use proof::Deployment;
+use proof::{Deployment, on_loopback};
 use serde_json::{Value, json};
 
 const PAGE: &str = include_str!("../../../docs/CALLERS.md");
 const ADDRESS: &str = "http://127.0.0.1:7100";
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            let $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 /// The blocks of one kind on the page.
 fn blocks(kind: &str) -> Vec<&'static str> {
     let start = format!("```{kind}\n");
--- a/crates/proof/tests/claims.rs
+++ b/crates/proof/tests/claims.rs
@@ -6,20 +6,9 @@
 use actix_web::rt::time::sleep;
 use futures::future::{join, join_all};
 use nix::sys::signal::Signal;
-use proof::{Deployment, Sent};
+use proof::{Deployment, Sent, on_loopback};
 use serde_json::{Value, json};
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            #[allow(unused_mut)]
-            let mut $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 fn request(key: &str, work: Value) -> Value {
     json!({"team": "coop", "key": key, "deadline_ms": 20_000, "body": work})
 }
--- a/crates/proof/tests/config.rs
+++ b/crates/proof/tests/config.rs
@@ -8,7 +8,7 @@
 
 use base::Token;
 use nix::sys::signal::Signal;
-use proof::{Deployment, Ran};
+use proof::{Deployment, Ran, on_loopback};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -16,17 +16,6 @@
 const IN_FORCE: Duration = Duration::from_secs(5);
 const LOOK: Duration = Duration::from_millis(50);
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            #[allow(unused_mut)]
-            let mut $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 /// Waits until every process has a version in force; none may fall meanwhile.
 async fn check_in_force(it: &Deployment, version: u64) {
     let start = Instant::now();
--- a/crates/proof/tests/operate.rs
+++ b/crates/proof/tests/operate.rs
@@ -3,24 +3,13 @@
 use std::{fs, time::Duration};
 
 use nix::sys::signal::Signal;
-use proof::{Deployment, Ran, Tool};
+use proof::{Deployment, Ran, Tool, on_loopback};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
 const LOOK: Duration = Duration::from_millis(50);
 const LOOKS: usize = 100;
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            #[allow(unused_mut)]
-            let mut $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 fn check_code(it: &Deployment, args: &[&str], code: i32) -> Ran {
     let ran = it.ctl(args);
     assert_eq!(ran.code, code, "{args:?}: {}{}", ran.out, ran.err);
--- a/crates/proof/tests/whole_path.rs
+++ b/crates/proof/tests/whole_path.rs
@@ -1,18 +1,8 @@
 //! A request and a job go from a caller through separate processes and back.
 
-use proof::Deployment;
+use proof::{Deployment, on_loopback};
 use serde_json::json;
 
-macro_rules! on_loopback {
-    ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
-        $(#[actix_web::test]
-        async fn $name() {
-            let $deployment = Deployment::start($entries, $agents).await;
-            $body
-        })*
-    };
-}
-
 on_loopback! {
     request_is_done_and_started_once(it, 1, 1) {
         let body = json!({"team": "coop", "key": "k1", "body": {"run_ms": 5}});
--- a/crates/standin/src/backend/app.rs
+++ b/crates/standin/src/backend/app.rs
@@ -10,6 +10,7 @@
 };
 use base::{clock_micros, now_ms};
 use bpaf::Bpaf;
+use daemon::stop_signal;
 use futures::{Stream, StreamExt, stream};
 use serde::Serialize;
 use tokio::time::sleep;
@@ -19,7 +20,6 @@
     starts::{Start, Starts},
     work::{Mode, Work},
 };
-use crate::stop_signal;
 
 const MAX_BODY_BYTES: usize = 4 << 20;
 const SHUTDOWN_SECONDS: u64 = 120;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,3 @@
 pub mod backend;
 pub mod load;
 pub mod platform;
-
-mod signal;
-
-pub use signal::stop_signal;
