--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use log::Level;
+use log::{Level, Record, kv::Value};
 
 macro_rules! events {
     ($($name:ident = $code:literal $level:ident $text:literal)*) => {
@@ -56,6 +56,33 @@
     AgentBackIn = 601 Info "agent no longer left out"
     CountsDown = 700 Warn "counts for the burn report can't be written"
     CountsBack = 701 Info "counts for the burn report are written again"
+    JobPlaced = 800 Info "tasks of a job placed"
+    JobAnswered = 801 Info "job answered"
+    JobRefused = 802 Info "job refused, nothing of it ran"
+    ShapeRefused = 803 Warn "job of a shape that is not served"
+    JobUnroutable = 804 Info "call for no queue in the configuration"
+    JobUnreadable = 805 Warn "job can't be read"
+    TasksBack = 806 Info "tasks of a job came back"
+    CallerLeft = 807 Info "caller left before the answer"
+    BatchTaken = 810 Info "tasks queued for the backend server"
+    TaskSettled = 811 Info "task settled"
+    OrderUnanswered = 812 Warn "order to start got no answer"
+    OrderRefused = 813 Warn "backend server refused an order to start"
+    StrayRun = 814 Warn "run of no entry stopped"
+    SessionOpened = 815 Info "entry heard for the first time"
+    SessionLapsed = 816 Warn "session of an entry lapsed, its runs are stopped"
+    LeasesLapsed = 817 Warn "leases of all runs lapsed without word of the backend server"
+    BackendSuspect = 820 Warn "backend server fails or stalls what it starts"
+    BackendTrusted = 821 Info "backend server trusted again"
+    BackendSilent = 822 Warn "backend server gives no listing"
+    BackendAnswers = 823 Info "backend server gives listings again"
+    BackendReborn = 824 Warn "backend server started anew, its runs are gone"
+    BackendDrains = 825 Info "backend server takes no new work"
+    FenceRaised = 826 Warn "fencing token raised above one that the backend server has seen"
+    HeartbeatRefused = 827 Warn "heartbeat can't be used"
+    SettingsChanged = 830 Info "settings reloaded"
+    SettingsRefused = 831 Error "changed settings can't be used"
+    EntryMet = 832 Info "entry learnt of another one"
 }
 
 impl Event {
@@ -65,6 +92,28 @@
 
     /// Writes the event to the log with its details.
     pub fn log(self, details: fmt::Arguments<'_>) {
-        log::log!(self.level(), "E{:04} {}: {}", self.code(), self.text(), details);
+        self.write(details, &[]);
+    }
+
+    /// Writes the event to the log with named fields.
+    pub fn note(self, fields: &[(&str, Value<'_>)]) {
+        self.write(format_args!(""), fields);
+    }
+
+    fn write(self, details: fmt::Arguments<'_>, fields: &[(&str, Value<'_>)]) {
+        if self.level() > log::max_level() {
+            return;
+        }
+        let code = format!("E{:04}", self.code());
+        let mut named = vec![("event", Value::from(&*code)), ("text", Value::from(self.text()))];
+        named.extend(fields.iter().cloned());
+        let source = named.as_slice();
+        let record = Record::builder()
+            .level(self.level())
+            .target(module_path!())
+            .key_values(&source)
+            .args(details)
+            .build();
+        log::logger().log(&record);
     }
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,13 +10,16 @@
 mod task;
 mod time;
 mod token;
+mod uptime;
 
 pub use event::Event;
 pub use id::{MAX_KEY_BYTES, Name, TaskId};
 pub use invariant::{broken, broken_count, set_fatal};
-pub use logging::start_logging;
+pub use log::kv::Value as Field;
+pub use logging::{dropped_lines, start_logging};
 pub use member::Member;
 pub use outcome::{Answer, Outcome};
 pub use task::{Digest, Task};
 pub use time::{Utc, clock_micros, now_ms};
 pub use token::Token;
+pub use uptime::{Uptime, uptime};
--- a/crates/conf/src/fleet/check.rs
+++ b/crates/conf/src/fleet/check.rs
@@ -8,6 +8,10 @@
 const MAX_NAME_BYTES: usize = 64;
 const WEIGHT: RangeInclusive<u64> = 1..=1000;
 const QUOTA: RangeInclusive<u64> = 1..=10_000_000;
+const PRIORITY: RangeInclusive<u64> = 0..=1000;
+const ATTEMPTS: RangeInclusive<u64> = 1..=1000;
+const TARGET: RangeInclusive<u64> = 0..=600_000;
+const MAX_STRETCH: f64 = 1000.0;
 /// Words that stand for a unit at the end of a field's name.
 const UNITS: &[&str] = &["_ms", "_s", "_sec", "_seconds", "_us", "_min", "_percent", "_ppm"];
 
@@ -51,7 +55,7 @@
 
 impl Check {
     fn fleet(&mut self, value: &Value) {
-        let known = ["defaults", "services", "exceptions", "history"];
+        let known = ["defaults", "services", "queues", "exceptions", "history"];
         let Some(fleet) = self.object("document", value, &known) else { return };
         if let Some(defaults) = fleet.get("defaults") {
             self.values("defaults", defaults);
@@ -61,6 +65,10 @@
             self.name(&path, name);
             self.service(&path, service);
         }
+        for (name, queue, path) in self.named("queues", fleet.get("queues")) {
+            self.name(&path, name);
+            self.queue(&path, queue, services);
+        }
         if let Some(exceptions) = fleet.get("exceptions") {
             self.exceptions(exceptions, services);
         }
@@ -76,6 +84,28 @@
         }
     }
 
+    fn queue(&mut self, path: &str, value: &Value, services: Option<&Value>) {
+        let known =
+            ["service", "host", "prefix", "priority", "attempts", "stretch", "target_ms"];
+        let Some(queue) = self.object(path, value, &known) else { return };
+        let service = self.text(path, queue, "service", "name the service that runs its tasks");
+        if let Some(service) = service
+            && services.is_none_or(|s| s.get(service).is_none())
+        {
+            self.fault(&format!("{path}.service"), &format!("there is no service {service}"));
+        }
+        self.text(path, queue, "host", "name the host that callers use");
+        self.text(path, queue, "prefix", "say how its paths begin");
+        self.number(&format!("{path}.priority"), queue.get("priority"), &PRIORITY, "steps");
+        self.number(&format!("{path}.attempts"), queue.get("attempts"), &ATTEMPTS, "runs");
+        self.number(&format!("{path}.target_ms"), queue.get("target_ms"), &TARGET, "milliseconds");
+        let stretch = queue.get("stretch").and_then(Value::as_f64);
+        if stretch.is_none_or(|s| !(1.0..=MAX_STRETCH).contains(&s)) {
+            let why = format!("must be a number from 1 to {MAX_STRETCH}");
+            self.fault(&format!("{path}.stretch"), &why);
+        }
+    }
+
     fn exceptions(&mut self, value: &Value, services: Option<&Value>) {
         let Some(list) = value.as_array() else {
             return self.fault("exceptions", "must be a list");
--- a/crates/conf/src/fleet/document.rs
+++ b/crates/conf/src/fleet/document.rs
@@ -13,6 +13,9 @@
     /// values that hold for every service
     pub defaults: Values,
     pub services: BTreeMap<Name, Service>,
+    /// where callers hand in jobs of tasks with a size, by name
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub queues: BTreeMap<Name, Queue>,
     pub exceptions: Vec<Exception>,
     /// the newest change first
     pub history: Vec<Change>,
@@ -33,6 +36,12 @@
         effective
     }
 
+    /// The queue that a call names: its host and the longest prefix of its path.
+    pub fn find_queue(&self, host: &str, path: &str) -> Option<(&Name, &Queue)> {
+        let fits = |q: &Queue| q.host.eq_ignore_ascii_case(host) && path.starts_with(&*q.prefix);
+        self.queues.iter().filter(|(_, q)| fits(q)).max_by_key(|(_, q)| q.prefix.len())
+    }
+
     /// The change with this number, if the document remembers it.
     pub fn find_change(&self, id: &str) -> Option<&Change> {
         self.history.iter().find(|c| c.id == id)
@@ -57,6 +66,25 @@
     pub teams: BTreeMap<Name, Team>,
 }
 
+/// A queue of jobs for one service, and what is owed to its callers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Queue {
+    pub service: Name,
+    /// host that callers name
+    pub host: Name,
+    /// start of the paths that belong to it
+    pub prefix: Name,
+    /// 0 comes first
+    pub priority: u32,
+    /// runs of a task that may fail before its job has failed
+    pub attempts: u32,
+    /// objective: so many times the longest task of a job
+    pub stretch: f64,
+    /// objective: and so much more, milliseconds
+    pub target_ms: u64,
+}
+
 /// What a team may ask of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -12,6 +12,6 @@
 pub use change::{Change, HISTORY};
 pub use check::{check_name, parse};
 pub use current::{Current, Snapshot};
-pub use document::{Exception, Fleet, Service, Team};
+pub use document::{Exception, Fleet, Queue, Service, Team};
 pub use entry_row::{EntryRow, Life};
 pub use values::{Effective, Field, Values};
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,12 +2,14 @@
 //! the fleet configuration that operators change through the platform's table.
 
 mod fleet;
+mod leased;
 mod settings;
 
 pub use fleet::{
-    Change, Current, Effective, EntryRow, Exception, Field, Fleet, HISTORY, Life, Service,
+    Change, Current, Effective, EntryRow, Exception, Field, Fleet, HISTORY, Life, Queue, Service,
     Snapshot, Team, Values, check_name, parse,
 };
+pub use leased::{DispatchSettings, LeaseSettings, RunnerSettings};
 pub use settings::{AgentSettings, Check, EntrySettings, Fault, PickKind, QueueKind, load};
 
 /// What can go wrong with settings.
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -262,7 +262,7 @@
     (faults, sound)
 }
 
-fn common(name: &str, platform: &str, token: &Token) -> Vec<Fault> {
+pub(crate) fn common(name: &str, platform: &str, token: &Token) -> Vec<Fault> {
     let mut faults = Vec::new();
     if let Some(why) = check_name(name) {
         faults.push(fault("name", why));
@@ -276,12 +276,12 @@
     faults
 }
 
-fn at_least(field: &str, value: u64, least: u64, faults: &mut Vec<Fault>) {
+pub(crate) fn at_least(field: &str, value: u64, least: u64, faults: &mut Vec<Fault>) {
     if value < least {
         faults.push(fault(field, &format!("is {value}, must be at least {least}")));
     }
 }
 
-fn fault(field: &str, why: &str) -> Fault {
+pub(crate) fn fault(field: &str, why: &str) -> Fault {
     Fault { field: field.to_owned(), why: why.to_owned() }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod args;
 mod listen;
+mod reload;
 mod run;
 mod signal;
 
 pub use args::Args;
 pub use listen::{listen, listen_http};
-pub use run::run;
+pub use reload::follow_settings;
+pub use run::{run, run_from};
 pub use signal::stop_signal;
 
 /// What can keep a daemon from starting.
@@ -16,6 +18,8 @@
 pub enum Error {
     #[error("can't listen on {address}: {why}")]
     Listen { address: std::net::SocketAddr, why: std::io::Error },
+    #[error("settings: {0}")]
+    Settings(String),
 }
 
 pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/daemon/src/reload.rs
@@ -0,0 +1,37 @@
+use std::{fs, time::Duration};
+
+use base::{Event, Name};
+use conf::Check;
+use serde::de::DeserializeOwned;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::timeout,
+};
+
+/// How often the settings file is read again; it may change without a signal.
+const POLL: Duration = Duration::from_millis(1000);
+
+/// Reads the settings again when their file changes or SIGHUP comes, and
+/// passes them on. Settings with faults are left aside.
+pub async fn follow_settings<S: DeserializeOwned + Check>(path: Name, changed: impl Fn(S)) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    let mut known = fs::read_to_string(&*path).unwrap_or_default();
+    loop {
+        let signalled = timeout(POLL, hangup.recv()).await.is_ok();
+        // a file that is being replaced is read at the next poll
+        let Ok(text) = fs::read_to_string(&*path) else { continue };
+        if text == known && !signalled {
+            continue;
+        }
+        let same = text == known;
+        known = text;
+        match conf::load::<S>(&path) {
+            Ok(settings) => {
+                Event::SettingsChanged
+                    .note(&[("signalled", signalled.into()), ("same", same.into())]);
+                changed(settings);
+            }
+            Err(e) => Event::SettingsRefused.log(format_args!("{e}")),
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,5 +1,6 @@
 use std::future::Future;
 
+use base::Name;
 use conf::Check;
 use log::LevelFilter;
 use serde::de::DeserializeOwned;
@@ -11,6 +12,21 @@
 /// # Errors
 /// When the settings have faults, or the daemon can't start.
 pub fn run<S, F>(about: &'static str, serve: impl FnOnce(S) -> F) -> eyre::Result<()>
+where
+    S: DeserializeOwned + Check,
+    F: Future<Output = Result<()>>,
+{
+    run_from(about, |settings, _| serve(settings))
+}
+
+/// The same for a daemon that reads its settings again: it learns their path.
+///
+/// # Errors
+/// When the settings have faults, or the daemon can't start.
+pub fn run_from<S, F>(
+    about: &'static str,
+    serve: impl FnOnce(S, Name) -> F,
+) -> eyre::Result<()>
 where
     S: DeserializeOwned + Check,
     F: Future<Output = Result<()>>,
@@ -22,6 +38,6 @@
         return Ok(());
     }
     base::start_logging(settings.name(), LevelFilter::Info)?;
-    actix::System::new().block_on(serve(settings))?;
+    actix::System::new().block_on(serve(settings, args.settings.as_str().into()))?;
     Ok(())
 }
--- /dev/null
+++ b/crates/dispatch/src/agent.rs
@@ -0,0 +1,109 @@
+use std::cell::{Cell, RefCell};
+
+use base::{Name, Uptime, uptime};
+use lease::{Size, Space};
+use tokio::sync::Notify;
+use wire::{Hello, egret_capnp::worker};
+
+/// One life of an agent as this entry sees it.
+pub struct Agent {
+    pub name: Name,
+    pub incarnation: u64,
+    pub service: Name,
+    pub labels: RefCell<Vec<Name>>,
+    /// its newest link
+    link: RefCell<Linked>,
+    /// when its newest greeting came, on our clock
+    heard: Cell<Uptime>,
+    /// when that greeting was sent, on the agent's clock
+    sent: Cell<Uptime>,
+    /// latest time at which it may have learnt that this entry lives
+    shown: Cell<Uptime>,
+    space: Cell<Space>,
+    /// what was sent since the space was reported
+    unreported: Cell<Size>,
+    /// a greeting came, or the link was replaced
+    pub changed: Notify,
+}
+
+#[derive(Clone)]
+struct Linked {
+    number: u64,
+    worker: worker::Client,
+}
+
+impl Agent {
+    pub fn new(hello: &Hello, worker: worker::Client) -> Self {
+        Self {
+            name: hello.name.clone(),
+            incarnation: hello.incarnation,
+            service: hello.service.clone(),
+            labels: RefCell::new(hello.labels.clone()),
+            link: RefCell::new(Linked { number: 1, worker }),
+            heard: Cell::new(uptime()),
+            sent: Cell::new(hello.sent),
+            shown: Cell::new(uptime()),
+            space: Cell::new(hello.space),
+            unreported: Cell::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Notes a greeting; `worker` is set when it came over a new link.
+    pub fn greeted(&self, hello: &Hello, worker: Option<worker::Client>) {
+        if let Some(worker) = worker {
+            let number = self.link.borrow().number + 1;
+            *self.link.borrow_mut() = Linked { number, worker };
+        }
+        if hello.sent >= self.sent.get() {
+            self.sent.set(hello.sent);
+            self.heard.set(uptime());
+            *self.labels.borrow_mut() = hello.labels.clone();
+            self.reported(hello.space);
+        }
+        self.shown.set(uptime());
+        self.changed.notify_waiters();
+    }
+
+    /// Notes the space that a reply or a greeting told.
+    pub fn reported(&self, space: Space) {
+        self.space.set(space);
+        self.unreported.set(Size::default());
+    }
+
+    pub fn space(&self) -> Space {
+        self.space.get()
+    }
+
+    pub fn unreported(&self) -> Size {
+        self.unreported.get()
+    }
+
+    /// Counts tasks that are being sent.
+    pub fn sent_tasks(&self, size: Size, count: u32) {
+        self.unreported.set(self.unreported.get().plus(size.times(count)));
+    }
+
+    /// How long it has been silent.
+    pub fn silent(&self) -> Uptime {
+        uptime().saturating_sub(self.heard.get())
+    }
+
+    /// Latest time on the agent's clock at which this entry is known to live:
+    /// its newest greeting was sent at least as long ago as we know it.
+    pub fn alive(&self) -> Uptime {
+        self.shown.set(uptime());
+        self.sent.get() + self.silent()
+    }
+
+    /// Latest time at which it may have learnt that this entry lives.
+    pub fn shown(&self) -> Uptime {
+        self.shown.get()
+    }
+
+    /// Number of its newest link, and the way to call it.
+    pub fn link(&self) -> (u64, worker::Client) {
+        let link = self.link.borrow();
+        (link.number, link.worker.clone())
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/agents.rs
@@ -0,0 +1,85 @@
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use base::{Event, Name, Uptime};
+use tokio::sync::Notify;
+use wire::{Hello, egret_capnp::worker};
+
+use crate::agent::Agent;
+
+/// The agents that greet this entry. Nothing else lists them.
+#[derive(Default)]
+pub struct Agents {
+    known: RefCell<BTreeMap<Name, Rc<Agent>>>,
+    /// an agent came or has room again
+    pub changed: Notify,
+}
+
+/// How an agent stands, for operators.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub name: Name,
+    pub service: Name,
+    pub incarnation: u64,
+    pub silent: Uptime,
+    pub ready: bool,
+}
+
+impl Agents {
+    /// Notes a greeting; `worker` is set in the first one of a link.
+    pub fn heard(&self, hello: &Hello, worker: Option<worker::Client>) {
+        let known = self.known.borrow().get(&hello.name).cloned();
+        match (known, worker) {
+            (Some(agent), worker) if agent.incarnation == hello.incarnation => {
+                if agent.space().ready && !hello.space.ready {
+                    Event::AgentNotReady.note(&[("agent", (&*hello.name).into())]);
+                }
+                agent.greeted(hello, worker);
+            }
+            // word of an earlier life that came late
+            (Some(agent), _) if agent.incarnation > hello.incarnation => return,
+            (before, Some(worker)) => {
+                Event::AgentSeen.note(&[
+                    ("agent", (&*hello.name).into()),
+                    ("incarnation", hello.incarnation.into()),
+                    ("ready", hello.space.ready.into()),
+                ]);
+                let agent = Rc::new(Agent::new(hello, worker));
+                self.known.borrow_mut().insert(hello.name.clone(), agent);
+                if let Some(before) = before {
+                    before.changed.notify_waiters();
+                }
+            }
+            (_, None) => return,
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// The newest life of an agent.
+    pub fn get(&self, name: &str) -> Option<Rc<Agent>> {
+        self.known.borrow().get(name).cloned()
+    }
+
+    /// Agents of a service that were heard lately.
+    pub fn of_service(&self, service: &str, silence: Uptime) -> Vec<Rc<Agent>> {
+        let known = self.known.borrow();
+        let heard = known.values().filter(|a| &*a.service == service && a.silent() <= silence);
+        heard.cloned().collect()
+    }
+
+    /// Whether any agent takes work.
+    pub fn any_ready(&self, silence: Uptime) -> bool {
+        self.known.borrow().values().any(|a| a.space().ready && a.silent() <= silence)
+    }
+
+    pub fn all(&self) -> Vec<Seen> {
+        let known = self.known.borrow();
+        let seen = known.values().map(|a| Seen {
+            name: a.name.clone(),
+            service: a.service.clone(),
+            incarnation: a.incarnation,
+            silent: a.silent(),
+            ready: a.space().ready,
+        });
+        seen.collect()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/desk.rs
@@ -0,0 +1,531 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{Event, Name, Uptime, uptime};
+use futures::{
+    FutureExt, StreamExt,
+    future::{LocalBoxFuture, Shared, WeakShared},
+    stream::FuturesUnordered,
+};
+use lease::{Batch, Chain, Ending, Placement, Progress, Settled};
+use place::{Ask, Objective, ObjectiveSettings, Placer, PlacerSettings, Seat};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    Agents, Job, JobAnswer, Metrics,
+    agent::Agent,
+    call::Caller,
+    part::{News, Part},
+};
+
+/// Pause before tasks without a place are tried again.
+const RETRY: Duration = Duration::from_millis(15);
+/// Kept of the caller's time for the answer to travel.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+/// Run time over that in the usual place, for tasks far from their data.
+const FAR: f64 = 1.5;
+
+/// Settings of a desk.
+#[derive(Clone, Debug)]
+pub struct DeskSettings {
+    pub chain: Chain,
+    /// incarnation of this entry
+    pub incarnation: u64,
+    pub objective: ObjectiveSettings,
+    pub placer: PlacerSettings,
+}
+
+type Answering = Shared<LocalBoxFuture<'static, JobAnswer>>;
+
+/// Takes jobs to their one answer.
+pub struct Desk {
+    settings: DeskSettings,
+    caller: Caller,
+    metrics: Arc<Metrics>,
+    placer: RefCell<Placer>,
+    batches: Cell<u64>,
+    /// jobs in progress
+    jobs: RefCell<HashMap<Name, InProgress>>,
+}
+
+struct InProgress {
+    answer: WeakShared<LocalBoxFuture<'static, JobAnswer>>,
+    queue: Name,
+    started: Rc<Cell<bool>>,
+    cancelled: Rc<Cell<bool>>,
+}
+
+impl Desk {
+    pub fn new(settings: DeskSettings, agents: Rc<Agents>, metrics: Arc<Metrics>) -> Rc<Self> {
+        let caller = Caller { agents, chain: settings.chain, session: settings.incarnation };
+        let placer = Placer::new(settings.placer.clone(), settings.incarnation);
+        Rc::new(Self {
+            settings,
+            caller,
+            metrics,
+            placer: RefCell::new(placer),
+            batches: Cell::new(0),
+            jobs: RefCell::default(),
+        })
+    }
+
+    pub fn agents(&self) -> &Rc<Agents> {
+        &self.caller.agents
+    }
+
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    pub fn chain(&self) -> Chain {
+        self.settings.chain
+    }
+
+    /// Runs a job to its answer. The same job handed in again while it runs
+    /// gets the same answer; when nobody waits for it any more, it is given up.
+    pub async fn submit(self: &Rc<Self>, job: Job) -> JobAnswer {
+        let answer = self.join_or_start(job);
+        answer.await
+    }
+
+    /// Gives up a job that is in progress here; false when it isn't.
+    pub fn cancel(&self, id: &str) -> bool {
+        match self.jobs.borrow().get(id) {
+            Some(job) if job.answer.upgrade().is_some() => {
+                job.cancelled.set(true);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether a job in progress here has started; `None` when there is none.
+    pub fn has_started(&self, id: &str) -> Option<bool> {
+        let jobs = self.jobs.borrow();
+        jobs.get(id).filter(|j| j.answer.upgrade().is_some()).map(|j| j.started.get())
+    }
+
+    /// Jobs of a queue of which nothing has started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let jobs = self.jobs.borrow();
+        jobs.values().filter(|j| &*j.queue == queue && !j.started.get()).count()
+    }
+
+    /// Gives up every job in progress, because this entry stops.
+    pub fn cancel_all(&self) {
+        for job in self.jobs.borrow().values() {
+            job.cancelled.set(true);
+        }
+    }
+
+    /// Jobs in progress.
+    pub fn len(&self) -> usize {
+        self.jobs.borrow().len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.jobs.borrow().is_empty()
+    }
+
+    fn join_or_start(self: &Rc<Self>, job: Job) -> Answering {
+        let known = self.jobs.borrow().get(&job.id).and_then(|j| j.answer.upgrade());
+        if let Some(answer) = known {
+            return answer;
+        }
+        let (started, cancelled) = (Rc::<Cell<bool>>::default(), Rc::<Cell<bool>>::default());
+        let (id, queue) = (job.id.clone(), job.queue.clone());
+        let run = Run::new(self.clone(), job, started.clone(), cancelled.clone());
+        let answer = run.answer().boxed_local().shared();
+        // nobody else holds the future, so there is something to point to
+        if let Some(weak) = answer.downgrade() {
+            let it = InProgress { answer: weak, queue, started, cancelled };
+            self.jobs.borrow_mut().insert(id, it);
+        }
+        answer
+    }
+
+    fn next_batch(&self) -> u64 {
+        self.batches.set(self.batches.get() + 1);
+        self.batches.get()
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Task {
+    /// waits for a place; its next run gets this number
+    Open(u32),
+    Placed,
+    Done,
+}
+
+/// One job on its way.
+struct Run {
+    desk: Rc<Desk>,
+    job: Job,
+    objective: Objective,
+    arrived: Uptime,
+    tasks: Vec<Task>,
+    /// runs of each task that failed
+    failures: Vec<u32>,
+    /// agents that didn't serve this job well
+    avoided: Vec<Name>,
+    /// batches not settled yet
+    placed: Vec<(Rc<Agent>, u64)>,
+    started: Rc<Cell<bool>>,
+    cancelled: Rc<Cell<bool>>,
+    answered: bool,
+}
+
+impl Run {
+    fn new(
+        desk: Rc<Desk>,
+        job: Job,
+        started: Rc<Cell<bool>>,
+        cancelled: Rc<Cell<bool>>,
+    ) -> Self {
+        let target = Duration::from_millis(job.rules.target_ms);
+        let objective = Objective::new(
+            &desk.settings.objective,
+            job.estimate,
+            job.rules.stretch,
+            target,
+            job.rules.priority,
+        );
+        let count = job.count as usize;
+        Self {
+            desk,
+            objective,
+            arrived: uptime(),
+            tasks: vec![Task::Open(1); count],
+            failures: vec![0; count],
+            avoided: Vec::new(),
+            placed: Vec::new(),
+            started,
+            cancelled,
+            answered: false,
+            job,
+        }
+    }
+
+    async fn answer(mut self) -> JobAnswer {
+        let answer = self.run().await;
+        self.answered = true;
+        let took = self.age();
+        let event = match answer {
+            JobAnswer::Refused { .. } => Event::JobRefused,
+            _ => Event::JobAnswered,
+        };
+        event.note(&[
+            ("job", (&*self.job.id).into()),
+            ("queue", (&*self.job.queue).into()),
+            ("answer", answer.as_str().into()),
+            ("why", answer.why().into()),
+            ("took_ms", (took.as_millis() as u64).into()),
+            ("objective_ms", (self.objective.target.as_millis() as u64).into()),
+        ]);
+        self.desk.metrics.answered(&self.job.queue, answer.as_str(), took);
+        answer
+    }
+
+    async fn run(&mut self) -> JobAnswer {
+        let mut waiting: FuturesUnordered<LocalBoxFuture<'static, (Part, News)>> =
+            FuturesUnordered::new();
+        loop {
+            if self.cancelled.get() {
+                return JobAnswer::GivenUp { why: "cancelled by the caller".into() };
+            }
+            let Some(left) = self.left() else { return self.out_of_time() };
+            let unplaced = self.place(&mut waiting);
+            if unplaced > 0 && waiting.is_empty() && !self.started.get() {
+                return self.refuse();
+            }
+            if unplaced > 0 && self.can_t_end() {
+                return JobAnswer::GivenUp { why: "the rest can't end in time".into() };
+            }
+            let limit = if unplaced > 0 { left.min(RETRY) } else { left };
+            if waiting.is_empty() {
+                sleep(limit).await;
+                continue;
+            }
+            let Ok(Some((part, news))) = timeout(limit, waiting.next()).await else { continue };
+            if let Some(answer) = self.take(part, news, &mut waiting) {
+                return answer;
+            }
+            if self.tasks.iter().all(|t| *t == Task::Done) {
+                return JobAnswer::Completed;
+            }
+        }
+    }
+
+    /// Finds places for the tasks that have none; gives how many are left.
+    fn place(
+        &mut self,
+        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
+    ) -> usize {
+        let mut open: Vec<Placement> = (0..)
+            .zip(&self.tasks)
+            .filter_map(|(index, task)| match task {
+                Task::Open(run) => Some(Placement { index, run: *run }),
+                _ => None,
+            })
+            .collect();
+        if open.is_empty() {
+            return 0;
+        }
+        let (agents, seats) = self.seats();
+        let ask = self.ask(open.len());
+        let spread = self.desk.placer.borrow_mut().spread(&seats, &ask);
+        // a job is worth nothing in part
+        if spread.left > 0 && !self.started.get() {
+            return spread.left;
+        }
+        let left = self.left().unwrap_or_default();
+        for (index, count) in &spread.parts {
+            let agent = agents[*index].clone();
+            let tasks: Vec<Placement> = open.drain(..*count).collect();
+            self.send(agent, tasks, ask.wait, left, waiting);
+        }
+        Event::JobPlaced.note(&[
+            ("job", (&*self.job.id).into()),
+            ("queue", (&*self.job.queue).into()),
+            ("tasks", (ask.count as u64).into()),
+            ("agents", (spread.parts.len() as u64).into()),
+            ("unplaced", (spread.left as u64).into()),
+            ("age_ms", (self.age().as_millis() as u64).into()),
+            ("wait_ms", (ask.wait.as_millis() as u64).into()),
+            ("estimate_ms", (self.job.estimate.as_millis() as u64).into()),
+        ]);
+        spread.left
+    }
+
+    fn send(
+        &mut self,
+        agent: Rc<Agent>,
+        tasks: Vec<Placement>,
+        wait: Duration,
+        left: Duration,
+        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
+    ) {
+        for task in &tasks {
+            self.tasks[task.index as usize] = Task::Placed;
+        }
+        agent.sent_tasks(self.job.size, tasks.len() as u32);
+        let number = self.desk.next_batch();
+        self.placed.push((agent.clone(), number));
+        let batch = Batch {
+            number,
+            job: self.job.id.clone(),
+            spec: self.job.spec.clone(),
+            size: self.job.size,
+            estimate: self.job.estimate,
+            wait,
+            left,
+            tasks,
+        };
+        waiting.push(self.wait_for(Part::new(agent, batch), false));
+    }
+
+    fn wait_for(&self, part: Part, placed: bool) -> LocalBoxFuture<'static, (Part, News)> {
+        let caller = self.desk.caller.clone();
+        async move {
+            let news = caller.news(&part, placed).await;
+            (part, news)
+        }
+        .boxed_local()
+    }
+
+    /// Takes news of a part; gives the answer if they decide the job.
+    fn take(
+        &mut self,
+        mut part: Part,
+        news: News,
+        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
+    ) -> Option<JobAnswer> {
+        let progress = match news {
+            News::Progress(progress) => progress,
+            News::Unknown => self.all_of(&part, Ending::NotRun, "the agent never got it"),
+            News::Lost => {
+                self.started.set(true);
+                self.all_of(&part, Ending::Lost, "agent out of reach")
+            }
+        };
+        if progress.started {
+            self.started.set(true);
+        }
+        if progress.space.capacity != lease::Size::default() {
+            part.agent.reported(progress.space);
+        }
+        for settled in &progress.settled {
+            if self.settle(settled, &part.agent.name) {
+                return Some(JobAnswer::Failed);
+            }
+        }
+        part.settle(&progress.settled);
+        if part.open.is_empty() {
+            self.placed.retain(|(_, number)| *number != part.batch.number);
+        } else {
+            waiting.push(self.wait_for(part, true));
+        }
+        None
+    }
+
+    fn all_of(&self, part: &Part, ending: Ending, why: &str) -> Progress {
+        let settled = part.open.iter().map(|(index, run)| Settled {
+            index: *index,
+            run: *run,
+            ending,
+            reason: why.into(),
+            ran: Duration::ZERO,
+        });
+        Progress { settled: settled.collect(), ..Progress::default() }
+    }
+
+    /// Notes the end of a task; true when the job has failed by it.
+    fn settle(&mut self, it: &Settled, agent: &Name) -> bool {
+        let Some(task) = self.tasks.get_mut(it.index as usize) else { return false };
+        let ending = match it.ending {
+            Ending::Done => {
+                *task = Task::Done;
+                self.desk.metrics.ended("done");
+                return false;
+            }
+            Ending::Failed => "failed",
+            Ending::Lost => "lost",
+            Ending::NotRun => "not-run",
+        };
+        *task = Task::Open(it.run.saturating_add(1));
+        self.desk.metrics.ended(ending);
+        Event::TasksBack.note(&[
+            ("job", (&*self.job.id).into()),
+            ("index", it.index.into()),
+            ("run", it.run.into()),
+            ("agent", (&**agent).into()),
+            ("ending", ending.into()),
+            ("why", (&*it.reason).into()),
+        ]);
+        if !self.avoided.contains(agent) {
+            self.avoided.push(agent.clone());
+        }
+        if it.ending == Ending::Failed {
+            let failures = &mut self.failures[it.index as usize];
+            *failures += 1;
+            return *failures >= self.job.rules.attempts;
+        }
+        false
+    }
+
+    /// Agents that may run this job, as the placer sees them.
+    fn seats(&mut self) -> (Vec<Rc<Agent>>, Vec<Seat>) {
+        let silence = self.desk.settings.chain.session;
+        let service = &self.job.rules.service;
+        let mut agents = self.desk.caller.agents.of_service(service, silence);
+        if !self.job.label.is_empty() {
+            agents.retain(|a| a.labels.borrow().contains(&self.job.label));
+        }
+        let is_avoided = |a: &Rc<Agent>| self.avoided.contains(&a.name);
+        if agents.iter().all(|a| is_avoided(a) || !a.space().ready) {
+            self.avoided.clear();
+        }
+        let seats = agents.iter().map(|a| Seat {
+            space: a.space(),
+            unreported: a.unreported(),
+            excluded: self.avoided.contains(&a.name),
+            distance: self.distance(a),
+        });
+        let seats = seats.collect();
+        (agents, seats)
+    }
+
+    fn distance(&self, agent: &Agent) -> f64 {
+        let near = self.job.rack.is_empty() || agent.labels.borrow().contains(&self.job.rack);
+        if near { 1.0 } else { FAR }
+    }
+
+    fn ask(&self, count: usize) -> Ask {
+        let apart = self.job.apart as usize;
+        Ask {
+            size: self.job.size,
+            count,
+            estimate: self.job.estimate,
+            wait: self.wait(),
+            per_agent: if apart == 0 { usize::MAX } else { apart },
+        }
+    }
+
+    /// Longest wait that a task may still bear: within the objective while
+    /// nothing has started; after that the work done so far is worth finishing.
+    fn wait(&self) -> Duration {
+        let spent = self.age();
+        if !self.started.get() {
+            return self.objective.wait.saturating_sub(spent);
+        }
+        let left = self.left().unwrap_or_default();
+        left.saturating_sub(self.job.estimate).min(self.objective.useless.saturating_sub(spent))
+    }
+
+    fn can_t_end(&self) -> bool {
+        self.started.get() && self.wait().is_zero()
+    }
+
+    fn refuse(&self) -> JobAnswer {
+        let seats = self.plain_seats();
+        let refusal = self.desk.placer.borrow_mut().refuse(&seats, &self.ask(self.tasks.len()));
+        let why = if seats.iter().any(|s| s.space.ready) {
+            "no room in time"
+        } else {
+            "no backend server takes work"
+        };
+        JobAnswer::Refused { why: why.into(), retry_after: refusal.retry_after }
+    }
+
+    fn plain_seats(&self) -> Vec<Seat> {
+        let silence = self.desk.settings.chain.session;
+        let agents = self.desk.caller.agents.of_service(&self.job.rules.service, silence);
+        agents.iter().map(|a| Seat { space: a.space(), ..Seat::default() }).collect()
+    }
+
+    fn out_of_time(&self) -> JobAnswer {
+        if self.started.get() || !self.placed.is_empty() {
+            return JobAnswer::GivenUp { why: "the caller's time is up".into() };
+        }
+        self.refuse()
+    }
+
+    fn age(&self) -> Duration {
+        uptime().saturating_sub(self.arrived)
+    }
+
+    /// Time left for work, nothing when it is up.
+    fn left(&self) -> Option<Duration> {
+        let all = self.job.left.saturating_sub(ANSWER_TIME);
+        all.checked_sub(self.age()).filter(|left| !left.is_zero())
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut jobs = self.desk.jobs.borrow_mut();
+        if jobs.get(&self.job.id).is_some_and(|j| Rc::ptr_eq(&j.started, &self.started)) {
+            jobs.remove(&self.job.id);
+        }
+        drop(jobs);
+        if !self.answered {
+            Event::CallerLeft.note(&[
+                ("job", (&*self.job.id).into()),
+                ("queue", (&*self.job.queue).into()),
+                ("age_ms", (self.age().as_millis() as u64).into()),
+            ]);
+            self.desk.metrics.answered(&self.job.queue, "caller-left", self.age());
+        }
+        for (agent, number) in self.placed.drain(..) {
+            let caller = self.desk.caller.clone();
+            actix::spawn(async move { caller.stop(agent, number).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/front.rs
@@ -0,0 +1,91 @@
+use std::{net::TcpListener, rc::Rc, sync::Arc, time::Duration};
+
+use base::{Event, clock_micros, uptime};
+use conf::{Current, DispatchSettings};
+use entry::{Peers, Place, Registrar};
+use lease::Chain;
+use place::{ObjectiveSettings, PlacerSettings};
+use plat::Table;
+use tokio::time::sleep;
+use wire::Door;
+
+use crate::{Agents, Desk, DeskSettings, EntryRpc, Meeting, Metrics, Status};
+
+/// A fresh entry is ready without any agent after this, so that callers get
+/// an honest refusal.
+const WARM: Duration = Duration::from_secs(3);
+const POLL: Duration = Duration::from_millis(50);
+
+/// All parts of an entry that callers' requests need; they live in one thread.
+pub struct Front {
+    pub desk: Rc<Desk>,
+    pub fleet: Arc<Current>,
+    pub status: Arc<Status>,
+    meeting: Rc<Meeting>,
+    agents: Rc<Agents>,
+    chain: Chain,
+}
+
+impl Front {
+    /// Starts to work on the thread of the caller.
+    ///
+    /// # Errors
+    /// When the port for agents can't be used.
+    pub fn start(
+        settings: &DispatchSettings,
+        chain: Chain,
+        listener: TcpListener,
+        status: Arc<Status>,
+        metrics: Arc<Metrics>,
+        table: Rc<dyn Table>,
+    ) -> std::io::Result<Rc<Self>> {
+        let fleet = Arc::<Current>::default();
+        let incarnation = clock_micros();
+        let (name, token) = (settings.name.clone(), settings.token.clone());
+        let meeting =
+            Meeting::new(name.clone(), incarnation, settings.rpc, token.clone(), fleet.clone());
+        let agents = Rc::<Agents>::default();
+        let desk_settings = DeskSettings {
+            chain,
+            incarnation,
+            objective: ObjectiveSettings::default(),
+            placer: PlacerSettings::default(),
+        };
+        let desk = Desk::new(desk_settings, agents.clone(), metrics);
+        let rpc = EntryRpc::new(agents.clone(), fleet.clone(), meeting.clone());
+        let door = Door::for_entry(token, capnp_rpc::new_client(rpc));
+        listener.set_nonblocking(true)?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        actix::spawn(wire::serve(listener, door));
+        let place = Place { name, http: settings.http, rpc: settings.rpc };
+        let peers = Arc::<Peers>::default();
+        actix::spawn(Registrar::new(table, peers.clone(), place, incarnation).run());
+        let front = Rc::new(Self { desk, fleet, status, meeting, agents, chain });
+        front.name_entries(settings);
+        actix::spawn(front.clone().keep_status(peers));
+        Ok(front)
+    }
+
+    /// Meets the entries that the settings name.
+    pub fn name_entries(&self, settings: &DispatchSettings) {
+        self.meeting.name_entries(&settings.entries());
+    }
+
+    async fn keep_status(self: Rc<Self>, peers: Arc<Peers>) {
+        let start = uptime();
+        let mut stopping = false;
+        loop {
+            for entry in peers.addresses() {
+                self.meeting.learn(entry);
+            }
+            let warm = uptime().saturating_sub(start) > WARM;
+            let served = self.agents.any_ready(self.chain.session);
+            self.status.set_ready(self.fleet.version() > 0 && (served || warm));
+            if self.status.is_stopping() && !stopping {
+                stopping = true;
+                Event::Stopping.note(&[("jobs", (self.desk.len() as u64).into())]);
+            }
+            sleep(POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/rpc.rs
@@ -0,0 +1,59 @@
+use std::{rc::Rc, sync::Arc};
+
+use capnp::Error;
+use conf::Current;
+use wire::{
+    Welcome,
+    egret_capnp::entry::{JoinParams, JoinResults, MeetParams, MeetResults, Server},
+    read_hello, read_welcome, write_welcome,
+};
+
+use crate::{Agents, Meeting};
+
+/// What agents and other entries may ask of this entry.
+pub struct EntryRpc {
+    agents: Rc<Agents>,
+    fleet: Arc<Current>,
+    meeting: Rc<Meeting>,
+}
+
+impl EntryRpc {
+    pub fn new(agents: Rc<Agents>, fleet: Arc<Current>, meeting: Rc<Meeting>) -> Self {
+        Self { agents, fleet, meeting }
+    }
+}
+
+impl Server for EntryRpc {
+    async fn join(
+        self: Rc<Self>,
+        params: JoinParams,
+        mut results: JoinResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let hello = read_hello(params.get_hello()?).map_err(fail)?;
+        if let Some(document) = &hello.document {
+            self.fleet.offer(hello.version, document);
+        }
+        let worker = params.has_worker().then(|| params.get_worker()).transpose()?;
+        self.agents.heard(&hello, worker);
+        write_welcome(results.get().init_welcome(), &self.meeting.welcome(hello.seen));
+        Ok(())
+    }
+
+    async fn meet(
+        self: Rc<Self>,
+        params: MeetParams,
+        mut results: MeetResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let known: Welcome = read_welcome(params.get_known()?).map_err(fail)?;
+        let address = params.get_address()?.to_str()?.parse().map_err(fail)?;
+        self.meeting.met(address, &known);
+        write_welcome(results.get().init_welcome(), &self.meeting.welcome(known.version));
+        Ok(())
+    }
+}
+
+fn fail(error: impl std::fmt::Display) -> Error {
+    Error::failed(error.to_string())
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -17,7 +17,7 @@
 use crate::{
     call::Gate,
     counts::{Counts, Keeper},
-    fleet::{Agents, Current, Peers, Registrar, Rosters, Watcher, watch_silence},
+    fleet::{Agents, Current, Peers, Place, Registrar, Rosters, Watcher, watch_silence},
     http,
     metrics::Metrics,
     rpc::EntryRpc,
@@ -76,8 +76,12 @@
     actix::spawn(rosters.watch(platform.clone(), shared.fleet.clone(), poll));
     actix::spawn(Watcher::new(platform.clone(), shared.fleet.clone(), poll).run());
     let incarnation = clock_micros();
-    let registrar =
-        Registrar::new(platform.clone(), shared.peers.clone(), &shared.settings, incarnation);
+    let place = Place {
+        name: shared.settings.name.clone(),
+        http: shared.settings.http,
+        rpc: shared.settings.rpc,
+    };
+    let registrar = Registrar::new(platform.clone(), shared.peers.clone(), place, incarnation);
     actix::spawn(registrar.run());
     let name = shared.settings.name.clone();
     let keeper = Rc::new(Keeper::new(platform, shared.counts.clone(), name, incarnation));
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 pub use conf::Current;
 pub use peer::Peer;
 pub use peers::Peers;
-pub use registrar::Registrar;
+pub use registrar::{Place, Registrar};
 pub use rosters::Rosters;
 pub use silence::watch_silence;
 pub use watcher::Watcher;
--- a/crates/entry/src/fleet/registrar.rs
+++ b/crates/entry/src/fleet/registrar.rs
@@ -1,11 +1,12 @@
 use std::{
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use base::{Name, now_ms};
-use conf::{EntryRow, EntrySettings, Life};
+use conf::{EntryRow, Life};
 use plat::{Error, Result, Table, Version};
 use tokio::time::sleep;
 
@@ -15,6 +16,14 @@
 /// How often the other entries are read.
 const LIST: Duration = Duration::from_secs(5);
 
+/// Where an entry is found.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub name: Name,
+    pub http: SocketAddr,
+    pub rpc: SocketAddr,
+}
+
 /// Keeps this entry's row in the platform's table, and learns of the others.
 pub struct Registrar {
     table: Rc<dyn Table>,
@@ -30,13 +39,12 @@
     pub fn new(
         table: Rc<dyn Table>,
         peers: Arc<Peers>,
-        settings: &EntrySettings,
+        place: Place,
         incarnation: u64,
     ) -> Self {
-        let row =
-            EntryRow { http: settings.http, rpc: settings.rpc, seen_ms: 0, lives: Vec::new() };
+        let row = EntryRow { http: place.http, rpc: place.rpc, seen_ms: 0, lives: Vec::new() };
         let life = Life { incarnation, started_ms: now_ms() };
-        Self { table, peers, name: settings.name.clone(), row, life, version: 0, written: None }
+        Self { table, peers, name: place.name, row, life, version: 0, written: None }
     }
 
     pub async fn run(mut self) {
--- /dev/null
+++ b/crates/lease/src/chain.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use crate::{Error, Result};
+
+/// Slowest clock of a backend server against ours.
+const CLOCK_SLACK: f64 = 1.02;
+/// For timers that fire late and messages on their way.
+const DELIVERY: Duration = Duration::from_millis(150);
+/// Shorter sessions would lapse on a busy machine that is sound.
+const SHORTEST: Duration = Duration::from_millis(200);
+
+/// Bounds that the chain of leases follows from.
+#[derive(Clone, Debug)]
+pub struct ChainSettings {
+    /// a caller whose connection broke sends its job again after this
+    pub resend: Duration,
+    /// longest lease that a backend server grants
+    pub hold: Duration,
+    /// longest time that a backend server takes to stop a run
+    pub stop: Duration,
+}
+
+impl Default for ChainSettings {
+    fn default() -> Self {
+        Self {
+            resend: Duration::from_millis(1300),
+            hold: Duration::from_millis(1000),
+            stop: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Lengths of the leases from an entry through an agent to a backend server.
+///
+/// The worst case: an entry dies, and its agent freezes just before the
+/// session lapses, right after it renewed the lease of the backend server.
+/// Then the runs end after `session + hold * 1.02`, which must be over before
+/// the caller sends the job to another entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Chain {
+    /// an agent works for an entry for so long after it last knew it alive
+    pub session: Duration,
+    /// a backend server runs what it has for so long after a renewal
+    pub hold: Duration,
+    /// all runs of an entry are over so long after it was last known alive
+    pub over: Duration,
+}
+
+impl Chain {
+    /// # Errors
+    /// When the bounds leave too little time for both leases.
+    pub fn new(settings: &ChainSettings) -> Result<Self> {
+        let fixed = settings.stop + DELIVERY;
+        let hold = settings
+            .resend
+            .saturating_sub(fixed)
+            .div_f64(1.0 + CLOCK_SLACK)
+            .min(settings.hold.div_f64(CLOCK_SLACK));
+        if hold < SHORTEST {
+            let least = SHORTEST.mul_f64(1.0 + CLOCK_SLACK) + fixed;
+            let hold = SHORTEST.mul_f64(CLOCK_SLACK);
+            return Err(Error::TooTight { least_ms: least.as_millis(), hold_ms: hold.as_millis() });
+        }
+        Ok(Self { session: hold, hold, over: hold + Self::lapse(hold) + fixed })
+    }
+
+    /// When a lease given for `hold` has lapsed, by the slowest clock.
+    pub fn lapse(hold: Duration) -> Duration {
+        hold.mul_f64(CLOCK_SLACK)
+    }
+
+    /// How often a live session is extended: three misses in a row are borne.
+    pub fn beat(&self) -> Duration {
+        self.session / 4
+    }
+
+    /// How long a renewal of leases may wait for news: a missing answer and
+    /// another try fit into the lease.
+    pub fn renewal(&self) -> Duration {
+        self.hold / 5
+    }
+}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,42 @@
+//! Runs under leases: what an agent decides about tasks with a size, without
+//! network, timers or threads.
+//!
+//! An agent works for an entry only while it knows that the entry lives, and
+//! a backend server runs a task only while the agent renews its lease. So the
+//! runs of an entry that died are over after a bound, whatever else happens,
+//! and their tasks may start again elsewhere. [`Chain`] has the arithmetic,
+//! [`Book`] the runs, the queue and the sessions of one agent.
+
+mod batch;
+mod book;
+mod chain;
+mod health;
+mod listing;
+mod order;
+mod run;
+mod session;
+mod size;
+mod space;
+mod speed;
+
+pub use batch::{Batch, BatchKey, Ending, Placement, Progress, Settled};
+pub use book::{Book, BookSettings};
+pub use chain::{Chain, ChainSettings};
+pub use health::HealthSettings;
+pub use listing::{Ended, Listing, Running, StopCause};
+pub use order::{Effect, Refused, RunKey, StartOrder, Started, StopOrder, TaskRef};
+pub use session::SessionId;
+pub use size::Size;
+pub use space::Space;
+
+/// What can be wrong with leases.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    #[error(
+        "a lease chain needs resend_ms over {least_ms} and hold_ms of {hold_ms} or more, \
+         so that runs end before a caller sends its job again"
+    )]
+    TooTight { least_ms: u128, hold_ms: u128 },
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/lease/src/size.rs
@@ -0,0 +1,48 @@
+/// What a task needs of a backend server, or what one has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size {
+    /// thousandths of a core
+    pub cpu: u32,
+    /// MB
+    pub memory: u32,
+    /// accelerators
+    pub gpu: u32,
+}
+
+impl Size {
+    /// Whether all of it is there.
+    pub fn fits(self, room: Size) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.gpu <= room.gpu
+    }
+
+    pub fn plus(self, other: Size) -> Size {
+        Size {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
+    }
+
+    /// What is left without the other, nothing where it is more.
+    pub fn minus(self, other: Size) -> Size {
+        Size {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+
+    pub fn times(self, count: u32) -> Size {
+        Size {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
+    }
+
+    /// How many tasks of a size have room here.
+    pub fn room_for(self, task: Size) -> u32 {
+        let parts = [(self.cpu, task.cpu), (self.memory, task.memory), (self.gpu, task.gpu)];
+        parts.into_iter().filter(|(_, t)| *t > 0).map(|(r, t)| r / t).min().unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/lease/src/space.rs
@@ -0,0 +1,18 @@
+use std::time::Duration;
+
+use crate::Size;
+
+/// What an agent has for further tasks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Space {
+    /// takes new work
+    pub ready: bool,
+    pub capacity: Size,
+    pub free: Size,
+    /// expected wait of a task that is queued last
+    pub wait: Duration,
+    /// run time over estimate
+    pub slowness: f64,
+    /// its backend server fails or stalls what it starts
+    pub suspect: bool,
+}
--- /dev/null
+++ b/crates/place/src/placer.rs
@@ -0,0 +1,160 @@
+use std::time::Duration;
+
+use lease::Size;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::Seat;
+
+/// Settings of the choice of agents.
+#[derive(Clone, Debug)]
+pub struct PlacerSettings {
+    /// chance that another entry takes the last free room of an agent first, 0 to 1
+    pub risk: f64,
+    /// cost of such a collision, as a share of the run time
+    pub collision: f64,
+    /// costs differ by up to this share of the run time at random, so that
+    /// entries with the same view don't choose alike
+    pub jitter: f64,
+    /// shortest time to come back
+    pub min_retry: Duration,
+}
+
+impl Default for PlacerSettings {
+    fn default() -> Self {
+        Self { risk: 0.6, collision: 0.5, jitter: 0.05, min_retry: Duration::from_millis(1000) }
+    }
+}
+
+/// What the tasks of a job ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// of each task
+    pub size: Size,
+    pub count: usize,
+    pub estimate: Duration,
+    /// longest wait for the start
+    pub wait: Duration,
+    /// most tasks on one agent
+    pub per_agent: usize,
+}
+
+/// Where the tasks go: for each agent its number of tasks, with the agent's
+/// index among the seats.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spread {
+    pub parts: Vec<(usize, usize)>,
+    /// tasks without a place
+    pub left: usize,
+}
+
+/// Why no place was found, and when it is worth coming back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub retry_after: Duration,
+}
+
+/// Spreads the tasks of jobs over agents.
+pub struct Placer {
+    settings: PlacerSettings,
+    rng: SmallRng,
+}
+
+struct Candidate {
+    index: usize,
+    free: Size,
+    /// expected wait of the next task
+    wait: Duration,
+    /// wait that one more task adds
+    turn: Duration,
+    run: Duration,
+    noise: Duration,
+    /// tasks that it may get in all
+    most: usize,
+    taken: usize,
+}
+
+impl Placer {
+    pub fn new(settings: PlacerSettings, seed: u64) -> Self {
+        Self { settings, rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Finds a place for each task within the wait that it may bear: where it
+    /// is expected to end first.
+    pub fn spread(&mut self, seats: &[Seat], ask: &Ask) -> Spread {
+        let mut candidates = self.candidates(seats, ask);
+        let mut left = ask.count;
+        while left > 0 {
+            let open = candidates.iter_mut().filter(|c| c.is_open(ask));
+            let best = open.min_by_key(|c| c.cost(&self.settings, ask));
+            let Some(best) = best else { break };
+            best.take(ask);
+            left -= 1;
+        }
+        let taken = candidates.into_iter().filter(|c| c.taken > 0);
+        Spread { parts: taken.map(|c| (c.index, c.taken)).collect(), left }
+    }
+
+    /// When a job that has no place is worth sending again: once what waits
+    /// is worked off, each caller at a time of its own over as long again.
+    pub fn refuse(&mut self, seats: &[Seat], ask: &Ask) -> Refusal {
+        let usable = seats.iter().filter(|s| s.space.ready && !s.excluded);
+        let least = usable.map(|s| s.space.wait).min().unwrap_or_default();
+        let after = (least + ask.estimate).max(self.settings.min_retry);
+        Refusal { retry_after: after + after.mul_f64(self.rng.random()) }
+    }
+
+    fn candidates(&mut self, seats: &[Seat], ask: &Ask) -> Vec<Candidate> {
+        let usable = seats.iter().enumerate().filter(|(_, s)| {
+            s.space.ready && !s.excluded && ask.size.fits(s.space.capacity)
+        });
+        usable
+            .map(|(index, seat)| {
+                let run = ask.estimate.mul_f64(seat.space.slowness.max(0.01) * seat.distance.max(1.0));
+                let capacity = f64::from(seat.space.capacity.cpu.max(1));
+                let turn = run.mul_f64(f64::from(ask.size.cpu) / capacity);
+                let sent = f64::from(seat.unreported.cpu) / f64::from(ask.size.cpu.max(1));
+                let full = !ask.size.fits(seat.space.free.minus(seat.unreported));
+                let ahead = if full { turn.mul_f64(sent) } else { Duration::ZERO };
+                Candidate {
+                    index,
+                    free: seat.space.free.minus(seat.unreported),
+                    wait: seat.space.wait + ahead,
+                    turn,
+                    run,
+                    noise: run.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
+                    // a suspect backend server is only tried
+                    most: if seat.space.suspect { 1 } else { ask.per_agent },
+                    taken: 0,
+                }
+            })
+            .collect()
+    }
+}
+
+impl Candidate {
+    fn has_room(&self, ask: &Ask) -> bool {
+        ask.size.fits(self.free) && self.wait.is_zero()
+    }
+
+    fn is_open(&self, ask: &Ask) -> bool {
+        self.taken < self.most && (self.has_room(ask) || self.wait <= ask.wait)
+    }
+
+    fn cost(&self, settings: &PlacerSettings, ask: &Ask) -> Duration {
+        if !self.has_room(ask) {
+            return self.wait + self.turn + self.run + self.noise;
+        }
+        let spare = self.free.room_for(ask.size).saturating_sub(1).min(32);
+        let risk = settings.collision * settings.risk.powi(spare as i32);
+        self.run + self.run.mul_f64(risk) + self.noise
+    }
+
+    fn take(&mut self, ask: &Ask) {
+        if self.has_room(ask) {
+            self.free = self.free.minus(ask.size);
+        } else {
+            self.wait += self.turn;
+        }
+        self.taken += 1;
+    }
+}
--- /dev/null
+++ b/crates/runner/src/identity.rs
@@ -0,0 +1,10 @@
+use base::Name;
+
+/// Who this agent is, as long as the process runs.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    pub name: Name,
+    pub incarnation: u64,
+    pub centre: Name,
+    pub service: Name,
+}
--- /dev/null
+++ b/crates/runner/src/lib.rs
@@ -0,0 +1,15 @@
+//! The agent beside a backend server with leases: carries out what the book
+//! of `lease` decides, over links to entries and a [`Backend`].
+
+mod backend;
+mod driver;
+mod greeter;
+mod identity;
+mod metrics;
+mod worker;
+
+pub use backend::{Announcement, Backend, Error, Held, Hold, Result, Terms};
+pub use driver::Driver;
+pub use greeter::Greeter;
+pub use identity::Identity;
+pub use metrics::Metrics;
--- /dev/null
+++ b/crates/runner/src/worker.rs
@@ -0,0 +1,76 @@
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use base::Name;
+use capnp::Error;
+use lease::SessionId;
+use wire::{
+    egret_capnp::worker::{
+        FollowParams, FollowResults, PlaceParams, PlaceResults, Server, StopParams, StopResults,
+    },
+    read_batch, write_progress,
+};
+
+use crate::Driver;
+
+/// What an entry may ask of this agent over one link.
+pub struct LinkWorker {
+    driver: Rc<Driver>,
+    entry: Name,
+    /// set once the link has been replaced: what still comes over it is void
+    closed: Rc<Cell<bool>>,
+}
+
+impl LinkWorker {
+    pub fn new(driver: Rc<Driver>, entry: Name, closed: Rc<Cell<bool>>) -> Self {
+        Self { driver, entry, closed }
+    }
+
+    fn open(&self, session: u64, heard_us: u64) -> Result<SessionId, Error> {
+        if self.closed.get() {
+            return Err(Error::disconnected("link was replaced".to_owned()));
+        }
+        let session = SessionId(session);
+        self.driver.heard(session, &self.entry, Duration::from_micros(heard_us));
+        Ok(session)
+    }
+}
+
+impl Server for LinkWorker {
+    async fn place(
+        self: Rc<Self>,
+        params: PlaceParams,
+        mut results: PlaceResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let session = self.open(params.get_session(), params.get_heard_us())?;
+        let batch = read_batch(params.get_batch()?).map_err(|e| Error::failed(e.to_string()))?;
+        let progress = self.driver.place(session, batch).await;
+        write_progress(results.get().init_progress(), progress.as_ref());
+        Ok(())
+    }
+
+    async fn follow(
+        self: Rc<Self>,
+        params: FollowParams,
+        mut results: FollowResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let session = self.open(params.get_session(), params.get_heard_us())?;
+        let (number, after) = (params.get_number(), params.get_after() as usize);
+        let progress = self.driver.follow(session, number, after).await;
+        write_progress(results.get().init_progress(), progress.as_ref());
+        Ok(())
+    }
+
+    async fn stop(
+        self: Rc<Self>,
+        params: StopParams,
+        mut results: StopResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let session = SessionId(params.get_session());
+        let progress = self.driver.give_up(session, params.get_number()).await;
+        write_progress(results.get().init_progress(), progress.as_ref());
+        Ok(())
+    }
+}
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -150,6 +150,10 @@
   # Whoever has the newer document sends it; the agent only once it knows that the entry is behind.
   # seen is the highest version the agent was sent; it may not be able to read it.
   greet @0 (info :AgentInfo, document :Text, seen :UInt64) -> (entries :List(Text), version :UInt64, document :Text);
+  # An agent of a backend server with leases opens or extends a session; worker is set in the first call of a link.
+  join @1 (hello :Hello, worker :Worker) -> (welcome :Welcome);
+  # From another entry: where the caller is, and which entries and configuration both know.
+  meet @2 (address :Text, known :Welcome) -> (welcome :Welcome);
 }
 
 interface Agent {
@@ -178,3 +182,94 @@
   # From an entry that is behind: the roster of a service as it is known here.
   roster @10 () -> (document :Text);
 }
+
+# Tasks with a size, which run under leases.
+
+struct Size {
+  cpu @0 :UInt32;        # thousandths of a core
+  memory @1 :UInt32;     # MB
+  gpu @2 :UInt32;
+}
+
+# What an agent has for leased tasks.
+struct Space {
+  ready @0 :Bool;        # takes new work
+  capacity @1 :Size;
+  free @2 :Size;
+  waitUs @3 :UInt64;     # expected wait of a task that is queued last
+  slowness @4 :Float32;  # run time over estimate
+  suspect @5 :Bool;      # its backend server fails or stalls what it starts
+}
+
+struct Hello {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  centre @2 :Text;
+  service @3 :Text;
+  labels @4 :List(Text); # kind and rack of the backend server
+  space @5 :Space;
+  version @6 :UInt64;    # fleet configuration in force
+  seen @7 :UInt64;       # highest version it was sent
+  document @8 :Text;     # the configuration, for an entry that is behind
+  sentUs @9 :UInt64;     # when it was sent, on the agent's clock
+}
+
+struct Welcome {
+  incarnation @0 :UInt64; # of the entry
+  name @4 :Text;
+  entries @1 :List(Text);
+  version @2 :UInt64;
+  document @3 :Text;
+}
+
+struct Placement {
+  index @0 :UInt32;
+  run @1 :UInt32;
+}
+
+# Tasks of one job for one agent.
+struct Batch {
+  number @0 :UInt64;     # unique in the life of the entry
+  job @1 :Text;
+  spec @2 :Text;
+  size @3 :Size;         # of each task
+  estimateMs @4 :UInt32;
+  waitMs @5 :UInt32;     # longest wait for the start
+  leftMs @6 :UInt32;     # time left to the deadline
+  tasks @7 :List(Placement);
+}
+
+enum Ending {
+  done @0;
+  failed @1;             # ran, and failed by itself
+  lost @2;               # may have run, and is over
+  notRun @3;             # never started, and never will
+}
+
+struct Settled {
+  index @0 :UInt32;
+  run @1 :UInt32;
+  ending @2 :Ending;
+  reason @3 :Text;
+  ranUs @4 :UInt64;
+}
+
+# Where the tasks of a batch stand.
+struct Progress {
+  settled @0 :List(Settled);
+  open @1 :UInt32;       # tasks not settled yet
+  space @2 :Space;
+  known @3 :Bool;        # whether the agent has the batch
+  started @4 :Bool;      # whether any of it may have started
+}
+
+interface Worker {
+  # From an entry: run tasks; the reply comes when all have settled, or one that isn't done.
+  # heardUs is the latest time on the agent's clock at which the entry lived.
+  # session is the incarnation of the entry.
+  place @0 (session :UInt64, batch :Batch, heardUs :UInt64) -> (progress :Progress);
+  # What has settled of a batch after the first so many; the reply comes as for place.
+  follow @1 (session :UInt64, number :UInt64, after :UInt32, heardUs :UInt64) -> (progress :Progress);
+  # Give a batch up; the reply comes when nothing of it runs.
+  stop @2 (session :UInt64, number :UInt64) -> (progress :Progress);
+}
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -5646,6 +5646,10 @@
     #![allow(unused_variables)]
     pub type GreetParams<> = ::capnp::capability::Params<crate::egret_capnp::entry::greet_params::Owned>;
     pub type GreetResults<> = ::capnp::capability::Results<crate::egret_capnp::entry::greet_results::Owned>;
+    pub type JoinParams<> = ::capnp::capability::Params<crate::egret_capnp::entry::join_params::Owned>;
+    pub type JoinResults<> = ::capnp::capability::Results<crate::egret_capnp::entry::join_results::Owned>;
+    pub type MeetParams<> = ::capnp::capability::Params<crate::egret_capnp::entry::meet_params::Owned>;
+    pub type MeetResults<> = ::capnp::capability::Results<crate::egret_capnp::entry::meet_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5698,9 +5702,17 @@
         pub fn greet_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::entry::greet_params::Owned,crate::egret_capnp::entry::greet_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
+        pub fn join_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::entry::join_params::Owned,crate::egret_capnp::entry::join_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn meet_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::entry::meet_params::Owned,crate::egret_capnp::entry::meet_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn greet(self: ::capnp::capability::Rc<Self>, _: GreetParams<>, _: GreetResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::greet not implemented".to_string()))) }
+        fn join(self: ::capnp::capability::Rc<Self>, _: JoinParams<>, _: JoinResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::join not implemented".to_string()))) }
+        fn meet(self: ::capnp::capability::Rc<Self>, _: MeetParams<>, _: MeetResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method entry::Server::meet not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5731,6 +5743,8 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::greet(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::join(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::meet(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6297,177 +6311,8 @@
             pub(crate) const TYPE_ID: u64 = 0xfcd8_6e17_f553_7a20;
         }
     }
-}
-
-
-pub mod agent {
-    #![allow(unused_variables)]
-    pub type RunParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::run_params::Owned>;
-    pub type RunResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::run_results::Owned>;
-    pub type AttachParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::attach_params::Owned>;
-    pub type AttachResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::attach_results::Owned>;
-    pub type StatusParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::status_params::Owned>;
-    pub type StatusResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::status_results::Owned>;
-    pub type CancelParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::cancel_params::Owned>;
-    pub type CancelResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::cancel_results::Owned>;
-    pub type ClaimParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::claim_params::Owned>;
-    pub type ClaimResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::claim_results::Owned>;
-    pub type ReleaseParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::release_params::Owned>;
-    pub type ReleaseResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::release_results::Owned>;
-    pub type BarParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::bar_params::Owned>;
-    pub type BarResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::bar_results::Owned>;
-    pub type BeatParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::beat_params::Owned>;
-    pub type BeatResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::beat_results::Owned>;
-    pub type CollectParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::collect_params::Owned>;
-    pub type CollectResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::collect_results::Owned>;
-    pub type DrainParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::drain_params::Owned>;
-    pub type DrainResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::drain_results::Owned>;
-    pub type RosterParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::roster_params::Owned>;
-    pub type RosterResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::roster_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl  ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook),  }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
-        }
-    }
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
-        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            unimplemented!()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
-        }
-    }
-    impl  ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl  Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone(),  }
-        }
-    }
-    impl  Client {
-        pub fn run_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::run_params::Owned,crate::egret_capnp::agent::run_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
-        pub fn attach_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::attach_params::Owned,crate::egret_capnp::agent::attach_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
-        }
-        pub fn status_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::status_params::Owned,crate::egret_capnp::agent::status_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
-        }
-        pub fn cancel_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::cancel_params::Owned,crate::egret_capnp::agent::cancel_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
-        }
-        pub fn claim_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::claim_params::Owned,crate::egret_capnp::agent::claim_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
-        }
-        pub fn release_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::release_params::Owned,crate::egret_capnp::agent::release_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
-        }
-        pub fn bar_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::bar_params::Owned,crate::egret_capnp::agent::bar_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
-        }
-        pub fn beat_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::beat_params::Owned,crate::egret_capnp::agent::beat_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
-        }
-        pub fn collect_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::collect_params::Owned,crate::egret_capnp::agent::collect_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
-        }
-        pub fn drain_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::drain_params::Owned,crate::egret_capnp::agent::drain_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
-        }
-        pub fn roster_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::roster_params::Owned,crate::egret_capnp::agent::roster_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
-        }
-    }
-    pub trait Server<> : 'static  {
-        fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::run not implemented".to_string()))) }
-        fn attach(self: ::capnp::capability::Rc<Self>, _: AttachParams<>, _: AttachResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::attach not implemented".to_string()))) }
-        fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::status not implemented".to_string()))) }
-        fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::cancel not implemented".to_string()))) }
-        fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::claim not implemented".to_string()))) }
-        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::release not implemented".to_string()))) }
-        fn bar(self: ::capnp::capability::Rc<Self>, _: BarParams<>, _: BarResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::bar not implemented".to_string()))) }
-        fn beat(self: ::capnp::capability::Rc<Self>, _: BeatParams<>, _: BeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::beat not implemented".to_string()))) }
-        fn collect(self: ::capnp::capability::Rc<Self>, _: CollectParams<>, _: CollectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::collect not implemented".to_string()))) }
-        fn drain(self: ::capnp::capability::Rc<Self>, _: DrainParams<>, _: DrainResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::drain not implemented".to_string()))) }
-        fn roster(self: ::capnp::capability::Rc<Self>, _: RosterParams<>, _: RosterResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::roster not implemented".to_string()))) }
-    }
-    pub struct ServerDispatch<_T,> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
-        type Dispatch = ServerDispatch<_S, >;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
-            ServerDispatch { server: s,  }
-        }
-    }
-    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T { &self.server}
-    }
-    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
-    }
-    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
-            }
-        }
-        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
-    }
-    impl <_T :Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::attach(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::claim(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::bar(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::beat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::collect(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::drain(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::roster(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
-            }
-        }
-    }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xc503_d93a_2411_e2c9;
-    }
 
-    pub mod run_params {
+    pub mod join_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6529,18 +6374,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_task(self) -> ::capnp::Result<crate::egret_capnp::task::Reader<'a>> {
+            pub fn get_hello(self) -> ::capnp::Result<crate::egret_capnp::hello::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_task(&self) -> bool {
+            pub fn has_hello(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_worker(self) -> ::capnp::Result<crate::egret_capnp::worker::Client> {
+                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn has_worker(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6591,21 +6444,33 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_task(self) -> ::capnp::Result<crate::egret_capnp::task::Builder<'a>> {
+            pub fn get_hello(self) -> ::capnp::Result<crate::egret_capnp::hello::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_task(&mut self, value: crate::egret_capnp::task::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_hello(&mut self, value: crate::egret_capnp::hello::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_task(self, ) -> crate::egret_capnp::task::Builder<'a> {
+            pub fn init_hello(self, ) -> crate::egret_capnp::hello::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_task(&self) -> bool {
+            pub fn has_hello(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_worker(self) -> ::capnp::Result<crate::egret_capnp::worker::Client> {
+                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn set_worker(&mut self, value: crate::egret_capnp::worker::Client)  {
+                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_worker(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6615,48 +6480,67 @@
             }
         }
         impl Pipeline  {
-            pub fn get_task(&self) -> crate::egret_capnp::task::Pipeline {
+            pub fn get_hello(&self) -> crate::egret_capnp::hello::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_worker(&self) -> crate::egret_capnp::worker::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(163, 22, 199, 86, 102, 36, 255, 132),
+                ::capnp::word(195, 199, 162, 232, 252, 50, 223, 153),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 114, 117, 110, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 46, 106, 111, 105, 110, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 97, 115, 107, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 101, 108, 108, 111, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 151, 84, 255, 143, 103, 114, 202),
+                ::capnp::word(123, 57, 48, 9, 126, 86, 184, 249),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 111, 114, 107, 101, 114, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 240, 179, 38, 133, 177, 248, 144),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::task::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::hello::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::egret_capnp::worker::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6670,14 +6554,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x84ff_2466_56c7_16a3;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x99df_32fc_e8a2_c7c3;
         }
     }
 
-    pub mod run_results {
+    pub mod join_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6739,11 +6623,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Reader<'a>> {
+            pub fn get_welcome(self) -> ::capnp::Result<crate::egret_capnp::welcome::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_welcome(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6801,19 +6685,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Builder<'a>> {
+            pub fn get_welcome(self) -> ::capnp::Result<crate::egret_capnp::welcome::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_reply(&mut self, value: crate::egret_capnp::reply::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_welcome(&mut self, value: crate::egret_capnp::welcome::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_reply(self, ) -> crate::egret_capnp::reply::Builder<'a> {
+            pub fn init_welcome(self, ) -> crate::egret_capnp::welcome::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_welcome(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6825,39 +6709,39 @@
             }
         }
         impl Pipeline  {
-            pub fn get_reply(&self) -> crate::egret_capnp::reply::Pipeline {
+            pub fn get_welcome(&self) -> crate::egret_capnp::welcome::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(76, 210, 22, 191, 203, 133, 17, 245),
+                ::capnp::word(134, 218, 11, 140, 104, 182, 129, 138),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 114, 117, 110, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 46, 106, 111, 105, 110, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(119, 101, 108, 99, 111, 109, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
+                ::capnp::word(37, 88, 152, 52, 140, 29, 14, 198),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -6866,7 +6750,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::welcome::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6883,11 +6767,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xf511_85cb_bf16_d24c;
+            pub(crate) const TYPE_ID: u64 = 0x8a81_b668_8c0b_da86;
         }
     }
 
-    pub mod attach_params {
+    pub mod meet_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6949,26 +6833,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Reader<'a>> {
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_id(&self) -> bool {
+            pub fn has_address(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_left_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn get_known(self) -> ::capnp::Result<crate::egret_capnp::welcome::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_incarnation(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn has_known(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7019,36 +6903,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Builder<'a>> {
+            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_id(&mut self, value: crate::egret_capnp::task_id::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_id(self, ) -> crate::egret_capnp::task_id::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_id(&self) -> bool {
+            pub fn has_address(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_left_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn get_known(self) -> ::capnp::Result<crate::egret_capnp::welcome::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_left_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn set_known(&mut self, value: crate::egret_capnp::welcome::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn get_incarnation(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn init_known(self, ) -> crate::egret_capnp::welcome::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
             }
             #[inline]
-            pub fn set_incarnation(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn has_known(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
             }
         }
 
@@ -7059,81 +6943,64 @@
             }
         }
         impl Pipeline  {
-            pub fn get_id(&self) -> crate::egret_capnp::task_id::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            pub fn get_known(&self) -> crate::egret_capnp::welcome::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(141, 247, 250, 133, 154, 124, 81, 158),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(186, 70, 215, 233, 4, 86, 47, 190),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 97, 116, 116, 97, 99, 104),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 46, 109, 101, 101, 116, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(37, 88, 152, 52, 140, 29, 14, 198),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::task_id::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::egret_capnp::welcome::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7147,14 +7014,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-            pub(crate) const TYPE_ID: u64 = 0x9e51_7c9a_85fa_f78d;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xbe2f_5604_e9d7_46ba;
         }
     }
 
-    pub mod attach_results {
+    pub mod meet_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7216,11 +7083,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Reader<'a>> {
+            pub fn get_welcome(self) -> ::capnp::Result<crate::egret_capnp::welcome::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_welcome(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7278,19 +7145,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Builder<'a>> {
+            pub fn get_welcome(self) -> ::capnp::Result<crate::egret_capnp::welcome::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_reply(&mut self, value: crate::egret_capnp::reply::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_welcome(&mut self, value: crate::egret_capnp::welcome::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_reply(self, ) -> crate::egret_capnp::reply::Builder<'a> {
+            pub fn init_welcome(self, ) -> crate::egret_capnp::welcome::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_reply(&self) -> bool {
+            pub fn has_welcome(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7302,40 +7169,39 @@
             }
         }
         impl Pipeline  {
-            pub fn get_reply(&self) -> crate::egret_capnp::reply::Pipeline {
+            pub fn get_welcome(&self) -> crate::egret_capnp::welcome::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(249, 71, 64, 8, 109, 132, 68, 174),
+                ::capnp::word(8, 93, 39, 52, 47, 178, 183, 150),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 97, 116, 116, 97, 99, 104),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 110, 112, 58, 69, 110, 116, 114),
+                ::capnp::word(121, 46, 109, 101, 101, 116, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(119, 101, 108, 99, 111, 109, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
+                ::capnp::word(37, 88, 152, 52, 140, 29, 14, 198),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7344,7 +7210,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::welcome::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7361,79 +7227,248 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xae44_846d_0840_47f9;
+            pub(crate) const TYPE_ID: u64 = 0x96b7_b22f_3427_5d08;
         }
     }
+}
 
-    pub mod status_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
+pub mod agent {
+    #![allow(unused_variables)]
+    pub type RunParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::run_params::Owned>;
+    pub type RunResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::run_results::Owned>;
+    pub type AttachParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::attach_params::Owned>;
+    pub type AttachResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::attach_results::Owned>;
+    pub type StatusParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::status_params::Owned>;
+    pub type StatusResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::status_results::Owned>;
+    pub type CancelParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::cancel_params::Owned>;
+    pub type CancelResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::cancel_results::Owned>;
+    pub type ClaimParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::claim_params::Owned>;
+    pub type ClaimResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::claim_results::Owned>;
+    pub type ReleaseParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::release_params::Owned>;
+    pub type ReleaseResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::release_results::Owned>;
+    pub type BarParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::bar_params::Owned>;
+    pub type BarResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::bar_results::Owned>;
+    pub type BeatParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::beat_params::Owned>;
+    pub type BeatResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::beat_results::Owned>;
+    pub type CollectParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::collect_params::Owned>;
+    pub type CollectResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::collect_results::Owned>;
+    pub type DrainParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::drain_params::Owned>;
+    pub type DrainResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::drain_results::Owned>;
+    pub type RosterParams<> = ::capnp::capability::Params<crate::egret_capnp::agent::roster_params::Owned>;
+    pub type RosterResults<> = ::capnp::capability::Results<crate::egret_capnp::agent::roster_results::Owned>;
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
         }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
         }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
         }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
         }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
         }
+    }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
         }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_id(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn run_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::run_params::Owned,crate::egret_capnp::agent::run_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn attach_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::attach_params::Owned,crate::egret_capnp::agent::attach_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn status_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::status_params::Owned,crate::egret_capnp::agent::status_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+        pub fn cancel_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::cancel_params::Owned,crate::egret_capnp::agent::cancel_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
+        pub fn claim_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::claim_params::Owned,crate::egret_capnp::agent::claim_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
+        pub fn release_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::release_params::Owned,crate::egret_capnp::agent::release_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
+        pub fn bar_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::bar_params::Owned,crate::egret_capnp::agent::bar_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
+        pub fn beat_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::beat_params::Owned,crate::egret_capnp::agent::beat_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
+        pub fn collect_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::collect_params::Owned,crate::egret_capnp::agent::collect_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
+        pub fn drain_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::drain_params::Owned,crate::egret_capnp::agent::drain_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
+        pub fn roster_request(&self) -> ::capnp::capability::Request<crate::egret_capnp::agent::roster_params::Owned,crate::egret_capnp::agent::roster_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 10, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::run not implemented".to_string()))) }
+        fn attach(self: ::capnp::capability::Rc<Self>, _: AttachParams<>, _: AttachResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::attach not implemented".to_string()))) }
+        fn status(self: ::capnp::capability::Rc<Self>, _: StatusParams<>, _: StatusResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::status not implemented".to_string()))) }
+        fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::cancel not implemented".to_string()))) }
+        fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::claim not implemented".to_string()))) }
+        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::release not implemented".to_string()))) }
+        fn bar(self: ::capnp::capability::Rc<Self>, _: BarParams<>, _: BarResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::bar not implemented".to_string()))) }
+        fn beat(self: ::capnp::capability::Rc<Self>, _: BeatParams<>, _: BeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::beat not implemented".to_string()))) }
+        fn collect(self: ::capnp::capability::Rc<Self>, _: CollectParams<>, _: CollectResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::collect not implemented".to_string()))) }
+        fn drain(self: ::capnp::capability::Rc<Self>, _: DrainParams<>, _: DrainResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::drain not implemented".to_string()))) }
+        fn roster(self: ::capnp::capability::Rc<Self>, _: RosterParams<>, _: RosterResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method agent::Server::roster not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::attach(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::status(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::claim(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::bar(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::beat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::collect(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::drain(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::roster(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xc503_d93a_2411_e2c9;
+    }
+
+    pub mod run_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_task(self) -> ::capnp::Result<crate::egret_capnp::task::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_task(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -7489,19 +7524,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Builder<'a>> {
+            pub fn get_task(self) -> ::capnp::Result<crate::egret_capnp::task::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_id(&mut self, value: crate::egret_capnp::task_id::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_task(&mut self, value: crate::egret_capnp::task::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_id(self, ) -> crate::egret_capnp::task_id::Builder<'a> {
+            pub fn init_task(self, ) -> crate::egret_capnp::task::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_id(&self) -> bool {
+            pub fn has_task(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7513,19 +7548,19 @@
             }
         }
         impl Pipeline  {
-            pub fn get_id(&self) -> crate::egret_capnp::task_id::Pipeline {
+            pub fn get_task(&self) -> crate::egret_capnp::task::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(56, 119, 156, 116, 80, 158, 78, 159),
+                ::capnp::word(163, 22, 199, 86, 102, 36, 255, 132),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -7533,19 +7568,19 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 115, 116, 97, 116, 117, 115),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(116, 46, 114, 117, 110, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 26, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 115, 107, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
+                ::capnp::word(72, 151, 84, 255, 143, 103, 114, 202),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7554,7 +7589,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::task_id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::task::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7571,11 +7606,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9f4e_9e50_749c_7738;
+            pub(crate) const TYPE_ID: u64 = 0x84ff_2466_56c7_16a3;
         }
     }
 
-    pub mod status_results {
+    pub mod run_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7637,10 +7672,6 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_stage(self) -> ::core::result::Result<crate::egret_capnp::Stage,::capnp::NotInSchema> {
-                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
-            }
-            #[inline]
             pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7652,7 +7683,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7703,14 +7734,6 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_stage(self) -> ::core::result::Result<crate::egret_capnp::Stage,::capnp::NotInSchema> {
-                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
-            }
-            #[inline]
-            pub fn set_stage(&mut self, value: crate::egret_capnp::Stage)  {
-                self.builder.set_data_field::<u16>(0, value as u16);
-            }
-            #[inline]
             pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
@@ -7740,47 +7763,31 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(207, 242, 57, 2, 46, 214, 109, 156),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(76, 210, 22, 191, 203, 133, 17, 245),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 115, 116, 97, 116, 117, 115),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(116, 46, 114, 117, 110, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(66, 203, 198, 226, 230, 139, 62, 253),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
@@ -7792,8 +7799,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::egret_capnp::Stage as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7807,14 +7813,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-            pub(crate) const TYPE_ID: u64 = 0x9c6d_d62e_0239_f2cf;
-        }
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xf511_85cb_bf16_d24c;
+        }
     }
 
-    pub mod cancel_params {
+    pub mod attach_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7876,18 +7882,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_ids(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::task_id::Owned>> {
+            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_ids(&self) -> bool {
+            pub fn has_id(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_left_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7938,21 +7952,37 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_ids(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::egret_capnp::task_id::Owned>> {
+            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_ids(&mut self, value: ::capnp::struct_list::Reader<'_,crate::egret_capnp::task_id::Owned>) -> ::capnp::Result<()> {
+            pub fn set_id(&mut self, value: crate::egret_capnp::task_id::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_ids(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::egret_capnp::task_id::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_id(self, ) -> crate::egret_capnp::task_id::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_ids(&self) -> bool {
+            pub fn has_id(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_left_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_left_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_incarnation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7962,49 +7992,81 @@
             }
         }
         impl Pipeline  {
+            pub fn get_id(&self) -> crate::egret_capnp::task_id::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(25, 168, 169, 179, 75, 102, 62, 161),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(141, 247, 250, 133, 154, 124, 81, 158),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 99, 97, 110, 99, 101, 108),
+                ::capnp::word(116, 46, 97, 116, 116, 97, 99, 104),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(105, 100, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::egret_capnp::task_id::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::task_id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8018,14 +8080,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xa13e_664b_b3a9_a819;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+            pub(crate) const TYPE_ID: u64 = 0x9e51_7c9a_85fa_f78d;
         }
     }
 
-    pub mod cancel_results {
+    pub mod attach_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8087,11 +8149,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_stopped(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,bool>> {
+            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_stopped(&self) -> bool {
+            pub fn has_reply(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -8149,19 +8211,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_stopped(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,bool>> {
+            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_stopped(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<bool>>) -> ::capnp::Result<()> {
+            pub fn set_reply(&mut self, value: crate::egret_capnp::reply::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_stopped(self, size: u32) -> ::capnp::primitive_list::Builder<'a,bool> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_reply(self, ) -> crate::egret_capnp::reply::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_stopped(&self) -> bool {
+            pub fn has_reply(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -8173,11 +8235,14 @@
             }
         }
         impl Pipeline  {
+            pub fn get_reply(&self) -> crate::egret_capnp::reply::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(34, 17, 53, 207, 237, 221, 250, 219),
+                ::capnp::word(249, 71, 64, 8, 109, 132, 68, 174),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -8190,33 +8255,29 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 99, 97, 110, 99, 101, 108),
+                ::capnp::word(116, 46, 97, 116, 116, 97, 99, 104),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 116, 111, 112, 112, 101, 100, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::primitive_list::Owned<bool> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8233,11 +8294,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xdbfa_dded_cf35_1122;
+            pub(crate) const TYPE_ID: u64 = 0xae44_846d_0840_47f9;
         }
     }
 
-    pub mod claim_params {
+    pub mod status_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8299,30 +8360,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_epoch(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_executor(self) -> ::capnp::Result<crate::egret_capnp::member::Reader<'a>> {
+            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_executor(&self) -> bool {
+            pub fn has_id(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::claim::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_claims(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8373,45 +8422,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_epoch(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_epoch(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_executor(self) -> ::capnp::Result<crate::egret_capnp::member::Builder<'a>> {
+            pub fn get_id(self) -> ::capnp::Result<crate::egret_capnp::task_id::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_executor(&mut self, value: crate::egret_capnp::member::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_id(&mut self, value: crate::egret_capnp::task_id::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_executor(self, ) -> crate::egret_capnp::member::Builder<'a> {
+            pub fn init_id(self, ) -> crate::egret_capnp::task_id::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_executor(&self) -> bool {
+            pub fn has_id(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::egret_capnp::claim::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_claims(&mut self, value: ::capnp::struct_list::Reader<'_,crate::egret_capnp::claim::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_claims(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::egret_capnp::claim::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-            }
-            #[inline]
-            pub fn has_claims(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8421,85 +8446,48 @@
             }
         }
         impl Pipeline  {
-            pub fn get_executor(&self) -> crate::egret_capnp::member::Pipeline {
+            pub fn get_id(&self) -> crate::egret_capnp::task_id::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(35, 170, 239, 135, 200, 142, 166, 201),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(56, 119, 156, 116, 80, 158, 78, 159),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 99, 108, 97, 105, 109, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(116, 46, 115, 116, 97, 116, 117, 115),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 26, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(56, 136, 125, 234, 112, 174, 165, 207),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 120, 101, 99, 117, 116, 111, 114),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 198, 251, 68, 38, 26, 169, 142),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(204, 189, 152, 177, 190, 24, 175, 129),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <crate::egret_capnp::member::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::egret_capnp::claim::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::task_id::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8513,14 +8501,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
-            pub(crate) const TYPE_ID: u64 = 0xc9a6_8ec8_87ef_aa23;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9f4e_9e50_749c_7738;
         }
     }
 
-    pub mod claim_results {
+    pub mod status_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8582,18 +8570,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::grant::Owned>> {
+            pub fn get_stage(self) -> ::core::result::Result<crate::egret_capnp::Stage,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_grants(&self) -> bool {
+            pub fn has_reply(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8644,19 +8636,27 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_grants(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::egret_capnp::grant::Owned>> {
+            pub fn get_stage(self) -> ::core::result::Result<crate::egret_capnp::Stage,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_stage(&mut self, value: crate::egret_capnp::Stage)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+            #[inline]
+            pub fn get_reply(self) -> ::capnp::Result<crate::egret_capnp::reply::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_grants(&mut self, value: ::capnp::struct_list::Reader<'_,crate::egret_capnp::grant::Owned>) -> ::capnp::Result<()> {
+            pub fn set_reply(&mut self, value: crate::egret_capnp::reply::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_grants(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::egret_capnp::grant::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn init_reply(self, ) -> crate::egret_capnp::reply::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_grants(&self) -> bool {
+            pub fn has_reply(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -8668,49 +8668,65 @@
             }
         }
         impl Pipeline  {
+            pub fn get_reply(&self) -> crate::egret_capnp::reply::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(66, 168, 137, 252, 225, 192, 248, 184),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(207, 242, 57, 2, 46, 214, 109, 156),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 65, 103, 101, 110),
-                ::capnp::word(116, 46, 99, 108, 97, 105, 109, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(116, 46, 115, 116, 97, 116, 117, 115),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 97, 110, 116, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(66, 203, 198, 226, 230, 139, 62, 253),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(238, 20, 245, 18, 228, 225, 147, 128),
+                ::capnp::word(249, 211, 158, 155, 197, 136, 18, 229),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::egret_capnp::grant::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::egret_capnp::Stage as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::egret_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8724,14 +8740,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb8f8_c0e1_fc89_a842;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x9c6d_d62e_0239_f2cf;
         }
     }
 
-    pub mod release_params {
+    pub mod cancel_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8793,38 +8809,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_epoch(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_executor(self) -> ::capnp::Result<crate::egret_capnp::member::Reader<'a>> {
+            pub fn get_ids(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::task_id::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_executor(&self) -> bool {
+            pub fn has_ids(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::claim::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_claims(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_bars(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,bool>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_bars(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
