A stopping entry answers every call before the end of its grace period

Ruled out: a call cut by the balancer (the log shows the entry's own stop). Change: answers are wanted by 0.9 s before the end of the grace period; what can't end by then is refused at once, what is left is given up with an answer.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -14,7 +14,7 @@
 };
 use lease::{Batch, Chain, Ending, Placement, Progress, Settled};
 use place::{Ask, Objective, ObjectiveSettings, Placer, PlacerSettings, Seat};
-use tokio::time::{sleep, timeout};
+use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     Agents, Job, JobAnswer, Metrics,
@@ -49,6 +49,8 @@
     metrics: Arc<Metrics>,
     placer: RefCell<Placer>,
     batches: Cell<u64>,
+    /// when this entry stops, once that is known
+    end: Cell<Option<Uptime>>,
     /// jobs in progress
     jobs: RefCell<HashMap<Name, InProgress>>,
 }
@@ -57,7 +59,7 @@
     answer: WeakShared<LocalBoxFuture<'static, JobAnswer>>,
     queue: Name,
     started: Rc<Cell<bool>>,
-    cancelled: Rc<Cell<bool>>,
+    cancel: Rc<Cancel>,
 }
 
 impl Desk {
@@ -70,6 +72,7 @@
             metrics,
             placer: RefCell::new(placer),
             batches: Cell::new(0),
+            end: Cell::new(None),
             jobs: RefCell::default(),
         })
     }
@@ -93,11 +96,16 @@
         answer.await
     }
 
+    /// Answers of jobs are wanted before this time, because this entry stops.
+    pub fn close_at(&self, end: Uptime) {
+        self.end.set(Some(end));
+    }
+
     /// Gives up a job that is in progress here; false when it isn't.
     pub fn cancel(&self, id: &str) -> bool {
         match self.jobs.borrow().get(id) {
             Some(job) if job.answer.upgrade().is_some() => {
-                job.cancelled.set(true);
+                job.cancel.give("cancelled by the caller");
                 true
             }
             _ => false,
@@ -119,7 +127,7 @@
     /// Gives up every job in progress, because this entry stops.
     pub fn cancel_all(&self) {
         for job in self.jobs.borrow().values() {
-            job.cancelled.set(true);
+            job.cancel.give("the entry stops");
         }
     }
 
@@ -137,13 +145,13 @@
         if let Some(answer) = known {
             return answer;
         }
-        let (started, cancelled) = (Rc::<Cell<bool>>::default(), Rc::<Cell<bool>>::default());
+        let (started, cancel) = (Rc::<Cell<bool>>::default(), Rc::<Cancel>::default());
         let (id, queue) = (job.id.clone(), job.queue.clone());
-        let run = Run::new(self.clone(), job, started.clone(), cancelled.clone());
+        let run = Run::new(self.clone(), job, started.clone(), cancel.clone());
         let answer = run.answer().boxed_local().shared();
         // nobody else holds the future, so there is something to point to
         if let Some(weak) = answer.downgrade() {
-            let it = InProgress { answer: weak, queue, started, cancelled };
+            let it = InProgress { answer: weak, queue, started, cancel };
             self.jobs.borrow_mut().insert(id, it);
         }
         answer
@@ -155,6 +163,31 @@
     }
 }
 
+/// Word that a job is to be given up, and why.
+#[derive(Default)]
+struct Cancel {
+    why: Cell<Option<&'static str>>,
+    told: Notify,
+}
+
+impl Cancel {
+    fn give(&self, why: &'static str) {
+        self.why.set(Some(why));
+        self.told.notify_waiters();
+    }
+
+    fn why(&self) -> Option<&'static str> {
+        self.why.get()
+    }
+
+    async fn given(&self) {
+        let told = self.told.notified();
+        if self.why().is_none() {
+            told.await;
+        }
+    }
+}
+
 /// One task of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Task {
@@ -178,7 +211,7 @@
     /// batches not settled yet
     placed: Vec<(Rc<Agent>, u64)>,
     started: Rc<Cell<bool>>,
-    cancelled: Rc<Cell<bool>>,
+    cancel: Rc<Cancel>,
     answered: bool,
 }
 
@@ -187,7 +220,7 @@
         desk: Rc<Desk>,
         job: Job,
         started: Rc<Cell<bool>>,
-        cancelled: Rc<Cell<bool>>,
+        cancel: Rc<Cancel>,
     ) -> Self {
         let target = Duration::from_millis(job.rules.target_ms);
         let objective = Objective::new(
@@ -207,7 +240,7 @@
             avoided: Vec::new(),
             placed: Vec::new(),
             started,
-            cancelled,
+            cancel,
             answered: false,
             job,
         }
@@ -237,23 +270,30 @@
         let mut waiting: FuturesUnordered<LocalBoxFuture<'static, (Part, News)>> =
             FuturesUnordered::new();
         loop {
-            if self.cancelled.get() {
-                return JobAnswer::GivenUp { why: "cancelled by the caller".into() };
+            if let Some(why) = self.cancel.why() {
+                return self.give_up(why);
             }
             let Some(left) = self.left() else { return self.out_of_time() };
+            if left < self.job.estimate && self.is_untouched() {
+                return self.refuse();
+            }
             let unplaced = self.place(&mut waiting);
-            if unplaced > 0 && waiting.is_empty() && !self.started.get() {
+            if unplaced > 0 && self.is_untouched() {
                 return self.refuse();
             }
             if unplaced > 0 && self.can_t_end() {
                 return JobAnswer::GivenUp { why: "the rest can't end in time".into() };
             }
             let limit = if unplaced > 0 { left.min(RETRY) } else { left };
-            if waiting.is_empty() {
-                sleep(limit).await;
-                continue;
-            }
-            let Ok(Some((part, news))) = timeout(limit, waiting.next()).await else { continue };
+            let cancel = self.cancel.clone();
+            let next = async {
+                tokio::select! {
+                    Some(next) = waiting.next() => Some(next),
+                    () = cancel.given() => None,
+                    () = sleep(limit) => None,
+                }
+            };
+            let Some((part, news)) = next.await else { continue };
             if let Some(answer) = self.take(part, news, &mut waiting) {
                 return answer;
             }
@@ -469,6 +509,11 @@
         left.saturating_sub(self.job.estimate).min(self.objective.useless.saturating_sub(spent))
     }
 
+    /// Nothing of it has run, and nothing is on its way.
+    fn is_untouched(&self) -> bool {
+        !self.started.get() && self.placed.is_empty()
+    }
+
     fn can_t_end(&self) -> bool {
         self.started.get() && self.wait().is_zero()
     }
@@ -491,10 +536,15 @@
     }
 
     fn out_of_time(&self) -> JobAnswer {
-        if self.started.get() || !self.placed.is_empty() {
-            return JobAnswer::GivenUp { why: "the caller's time is up".into() };
+        self.give_up("the caller's time is up")
+    }
+
+    /// The answer to a job that is not waited for any longer.
+    fn give_up(&self, why: &str) -> JobAnswer {
+        if self.is_untouched() {
+            return self.refuse();
         }
-        self.refuse()
+        JobAnswer::GivenUp { why: why.into() }
     }
 
     fn age(&self) -> Duration {
@@ -503,8 +553,9 @@
 
     /// Time left for work, nothing when it is up.
     fn left(&self) -> Option<Duration> {
-        let all = self.job.left.saturating_sub(ANSWER_TIME);
-        all.checked_sub(self.age()).filter(|left| !left.is_zero())
+        let end = self.arrived + self.job.left.saturating_sub(ANSWER_TIME);
+        let end = self.desk.end.get().map_or(end, |stop| end.min(stop));
+        end.checked_sub(uptime()).filter(|left| !left.is_zero())
     }
 }
 
--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -74,6 +74,7 @@
     async fn keep_status(self: Rc<Self>, peers: Arc<Peers>) {
         let start = uptime();
         let mut stopping = false;
+        let mut closed = false;
         loop {
             for entry in peers.addresses() {
                 self.meeting.learn(entry);
@@ -81,9 +82,16 @@
             let warm = uptime().saturating_sub(start) > WARM;
             let served = self.agents.any_ready(self.chain.session);
             self.status.set_ready(self.fleet.version() > 0 && (served || warm));
-            if self.status.is_stopping() && !stopping {
-                stopping = true;
-                Event::Stopping.note(&[("jobs", (self.desk.len() as u64).into())]);
+            if let Some(end) = self.status.end() {
+                if !stopping {
+                    stopping = true;
+                    self.desk.close_at(end);
+                    Event::Stopping.note(&[("jobs", (self.desk.len() as u64).into())]);
+                }
+                if uptime() >= end && !closed {
+                    closed = true;
+                    self.desk.cancel_all();
+                }
             }
             sleep(POLL).await;
         }
--- a/crates/dispatch/src/status.rs
+++ b/crates/dispatch/src/status.rs
@@ -1,23 +1,29 @@
 use std::{
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use base::uptime;
+use base::{Uptime, uptime};
 use tokio::time::sleep;
 
 /// How an entry stands, shared by its threads.
 #[derive(Debug, Default)]
 pub struct Status {
     ready: AtomicBool,
-    stopping: AtomicBool,
+    /// when calls must have their answers, once this entry stops
+    end: Mutex<Option<Uptime>>,
     calls: AtomicUsize,
 }
 
 /// The balancer asks once a second and leaves an entry out after two misses.
 const UNREADY: Duration = Duration::from_millis(2500);
-/// Kept of the time to stop for the last answers.
-const LAST_ANSWERS: Duration = Duration::from_millis(700);
+/// Kept of the time to stop for answers to what is given up.
+const LAST_ANSWERS: Duration = Duration::from_millis(900);
+/// Kept of the time to stop for the end of the process.
+const EXIT: Duration = Duration::from_millis(300);
 const POLL: Duration = Duration::from_millis(20);
 
 impl Status {
@@ -32,7 +38,12 @@
 
     /// True from the start of a graceful shutdown.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.end().is_some()
+    }
+
+    /// When calls must have their answers; `None` until this entry stops.
+    pub fn end(&self) -> Option<Uptime> {
+        *self.end.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Counts a call for as long as it is kept.
@@ -42,13 +53,16 @@
     }
 
     /// Takes part in a graceful shutdown: callers are served until the
-    /// balancer sends no more, and every call has its answer, or the time is up.
+    /// balancer sends no more and every call has its answer. What is left
+    /// shortly before the end of the grace period is given up, so that each
+    /// call still gets an answer.
     pub async fn finish(&self, grace: Duration) {
-        self.stopping.store(true, Ordering::Release);
         let start = uptime();
         let end = start + grace.saturating_sub(LAST_ANSWERS);
-        let settled = start + UNREADY;
-        while uptime() < end {
+        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
+        let settled = (start + UNREADY).min(end);
+        let last = start + grace.saturating_sub(EXIT);
+        while uptime() < last {
             let idle = self.calls.load(Ordering::Acquire) == 0;
             if idle && uptime() >= settled {
                 return;
