Agents give up a dial after 250 ms

Ruled out: waiting for the configuration (in force at 38.26 s) and for heartbeats (agents said ready in their first greeting).

--- a/crates/dispatch/src/meeting.rs
+++ b/crates/dispatch/src/meeting.rs
@@ -10,7 +10,7 @@
 use base::{Event, Name, Token, Uptime, uptime};
 use conf::Current;
 use tokio::time::{sleep, timeout};
-use wire::{Link, Method, Welcome, dial, read_welcome, write_welcome};
+use wire::{Link, Method, Welcome, dial_within, read_welcome, write_welcome};
 
 /// How often the other entries are met: a new one is known to all agents
 /// within about two of these.
@@ -100,7 +100,7 @@
     async fn keep_meeting(self: Rc<Self>, entry: SocketAddr) {
         let since = uptime();
         loop {
-            if let Ok(link) = dial(entry, &self.token).await {
+            if let Ok(link) = dial_within(MEET_LIMIT, entry, &self.token).await {
                 self.meet(entry, &link).await;
                 link.close();
             }
--- a/crates/runner/src/greeter.rs
+++ b/crates/runner/src/greeter.rs
@@ -12,11 +12,14 @@
 use lease::SessionId;
 use tokio::time::{sleep, timeout};
 use wire::{
-    Hello, Link, Method, Welcome, dial, egret_capnp::worker, read_welcome, write_hello,
+    Hello, Link, Method, Welcome, dial_within, egret_capnp::worker, read_welcome, write_hello,
 };
 
 use crate::{Driver, Identity, worker::LinkWorker};
 
+/// Longest time for a link to open; far longer than any round trip, and short
+/// beside the second after which the network sends a lost first packet again.
+const DIAL_LIMIT: Duration = Duration::from_millis(250);
 /// Pause between two tries to reach an entry.
 const REDIAL: Duration = Duration::from_millis(100);
 /// The same for one that was away for longer than [`SOON`].
@@ -99,7 +102,7 @@
                 self.state.known.borrow_mut().remove(&entry);
                 return;
             }
-            if let Ok(link) = dial(entry, &self.state.token).await {
+            if let Ok(link) = dial_within(DIAL_LIMIT, entry, &self.state.token).await {
                 self.stay(entry, link).await;
             }
             sleep(if away > SOON { REDIAL_LATER } else { REDIAL }).await;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,7 +30,7 @@
     Hello, Welcome, read_batch, read_hello, read_progress, read_welcome, write_batch, write_hello,
     write_progress, write_welcome,
 };
-pub use link::{Link, dial, serve};
+pub use link::{Link, dial, dial_within, serve};
 pub use links::Links;
 pub use method::Method;
 pub use task::{read_id, read_task, write_id, write_task};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -89,7 +89,16 @@
 /// # Errors
 /// `Connect` when it isn't there, `Refused` when it won't have us.
 pub async fn dial(address: SocketAddr, token: &Token) -> Result<Link> {
-    match timeout(DIAL_TIMEOUT, dial_open(address, token)).await {
+    dial_within(DIAL_TIMEOUT, address, token).await
+}
+
+/// The same for a caller that tries again soon: a first packet that met a
+/// machine without power is only sent again after a second.
+///
+/// # Errors
+/// `Connect` when it isn't there, `Refused` when it won't have us.
+pub async fn dial_within(limit: Duration, address: SocketAddr, token: &Token) -> Result<Link> {
+    match timeout(limit, dial_open(address, token)).await {
         Ok(link) => link,
         Err(_) => Err(connect_error(address, "no answer in time")),
     }
