Tasks go where they are expected to end within the objective; late jobs wait for spare room

Ruled out: processor time of entries and agents (0.02 and 0.01 core) and total room (75 % used at the first crest). Change: placing compares expected end with the objective; what has no such place waits in a backlog of the entry (started jobs first) for room nobody else wants; refused only when the backlog is too long.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,17 +1,16 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use base::{Event, Name, Uptime};
-use tokio::sync::Notify;
 use wire::{Hello, egret_capnp::worker};
 
-use crate::agent::Agent;
+use crate::{agent::Agent, backlog::Backlog};
 
 /// The agents that greet this entry. Nothing else lists them.
 #[derive(Default)]
 pub struct Agents {
     known: RefCell<BTreeMap<Name, Rc<Agent>>>,
-    /// an agent came or has room again
-    pub changed: Notify,
+    /// jobs that wait for room
+    pub backlog: Rc<Backlog>,
 }
 
 /// How an agent stands, for operators.
@@ -51,7 +50,7 @@
             }
             (_, None) => return,
         }
-        self.changed.notify_waiters();
+        self.backlog.room();
     }
 
     /// The newest life of an agent.
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -13,20 +13,25 @@
     stream::FuturesUnordered,
 };
 use lease::{Batch, Chain, Ending, Placement, Progress, Settled};
-use place::{Ask, Objective, ObjectiveSettings, Placer, PlacerSettings, Seat};
+use place::{Aim, Ask, Objective, ObjectiveSettings, Placer, PlacerSettings, Seat, Spread};
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
     Agents, Job, JobAnswer, Metrics,
     agent::Agent,
+    backlog::{Rank, Ticket},
     call::Caller,
     part::{News, Part},
 };
 
-/// Pause before tasks without a place are tried again.
-const RETRY: Duration = Duration::from_millis(15);
+/// A fresh entry lets jobs wait for its first agents until this age.
+const WARM: Duration = Duration::from_millis(1500);
+/// Shortest sleep between two looks at a job.
+const LEAST_LIMIT: Duration = Duration::from_millis(5);
 /// Kept of the caller's time for the answer to travel.
 const ANSWER_TIME: Duration = Duration::from_millis(30);
+/// Run time over its estimate that a job which waits should have room for.
+const RUN_MARGIN: f64 = 2.0;
 /// Run time over that in the usual place, for tasks far from their data.
 const FAR: f64 = 1.5;
 
@@ -48,6 +53,7 @@
     caller: Caller,
     metrics: Arc<Metrics>,
     placer: RefCell<Placer>,
+    born: Uptime,
     batches: Cell<u64>,
     /// when this entry stops, once that is known
     end: Cell<Option<Uptime>>,
@@ -71,6 +77,7 @@
             caller,
             metrics,
             placer: RefCell::new(placer),
+            born: uptime(),
             batches: Cell::new(0),
             end: Cell::new(None),
             jobs: RefCell::default(),
@@ -212,19 +219,23 @@
     placed: Vec<(Rc<Agent>, u64)>,
     started: Rc<Cell<bool>>,
     cancel: Rc<Cancel>,
+    /// set while tasks wait for room
+    ticket: Option<Ticket>,
     answered: bool,
 }
 
+async fn turn(ticket: Option<&Ticket>) {
+    match ticket {
+        Some(ticket) => ticket.turn().await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Run {
     fn new(desk: Rc<Desk>, job: Job, started: Rc<Cell<bool>>, cancel: Rc<Cancel>) -> Self {
         let target = Duration::from_millis(job.rules.target_ms);
-        let objective = Objective::new(
-            &desk.settings.objective,
-            job.estimate,
-            job.rules.stretch,
-            target,
-            job.rules.priority,
-        );
+        let objective =
+            Objective::new(&desk.settings.objective, job.estimate, job.rules.stretch, target);
         let count = job.count as usize;
         Self {
             desk,
@@ -236,6 +247,7 @@
             placed: Vec::new(),
             started,
             cancel,
+            ticket: None,
             answered: false,
             job,
         }
@@ -273,18 +285,24 @@
                 return self.refuse();
             }
             let unplaced = self.place(&mut waiting);
-            if unplaced > 0 && self.is_untouched() {
+            if unplaced == 0 {
+                self.ticket = None;
+            } else if self.is_untouched() && !self.may_wait(left) {
                 return self.refuse();
+            } else if waiting.is_empty() && left < self.job.estimate {
+                return self.give_up("the rest can't end in time");
+            } else {
+                self.queue_up();
             }
-            if unplaced > 0 && self.can_t_end() {
-                return JobAnswer::GivenUp { why: "the rest can't end in time".into() };
-            }
-            let limit = if unplaced > 0 { left.min(RETRY) } else { left };
+            let limit = if unplaced > 0 { left.saturating_sub(self.job.estimate) } else { left };
+            let limit = limit.max(LEAST_LIMIT);
+            let ticket = self.ticket.as_ref();
             let cancel = self.cancel.clone();
             let next = async {
                 tokio::select! {
                     Some(next) = waiting.next() => Some(next),
                     () = cancel.given() => None,
+                    () = turn(ticket) => None,
                     () = sleep(limit) => None,
                 }
             };
@@ -315,16 +333,12 @@
         }
         let (agents, seats) = self.seats();
         let ask = self.ask(open.len());
-        let spread = self.desk.placer.borrow_mut().spread(&seats, &ask);
-        // a job is worth nothing in part
-        if spread.left > 0 && !self.started.get() {
-            return spread.left;
-        }
+        let Some(spread) = self.spread(&seats, &ask) else { return ask.count };
         let left = self.left().unwrap_or_default();
-        for (index, count) in &spread.parts {
-            let agent = agents[*index].clone();
-            let tasks: Vec<Placement> = open.drain(..*count).collect();
-            self.send(agent, tasks, ask.wait, left, waiting);
+        for part in &spread.parts {
+            let agent = agents[part.seat].clone();
+            let tasks: Vec<Placement> = open.drain(..part.tasks).collect();
+            self.send(agent, tasks, part.wait, left, waiting);
         }
         Event::JobPlaced.note(&[
             ("job", (&*self.job.id).into()),
@@ -333,12 +347,46 @@
             ("agents", (spread.parts.len() as u64).into()),
             ("unplaced", (spread.left as u64).into()),
             ("age_ms", (self.age().as_millis() as u64).into()),
-            ("wait_ms", (ask.wait.as_millis() as u64).into()),
             ("estimate_ms", (self.job.estimate.as_millis() as u64).into()),
         ]);
         spread.left
     }
 
+    /// Places for the tasks; `None` when it is better to wait.
+    fn spread(&self, seats: &[Seat], ask: &Ask) -> Option<Spread> {
+        let mut placer = self.desk.placer.borrow_mut();
+        let spread = placer.spread(seats, ask, Aim::InTime);
+        // a job is worth little in part
+        if spread.left == 0 {
+            return Some(spread);
+        }
+        // what could still end in time doesn't wait behind what can't
+        let waits = !self.desk.caller.agents.backlog.is_empty();
+        let is_first = self.ticket.is_some() || !self.is_untouched() || !waits;
+        let spread = is_first.then(|| placer.spread(seats, ask, Aim::AnyRoom))?;
+        (!spread.parts.is_empty()).then_some(spread)
+    }
+
+    /// Waits for room beside the others that can't end in time.
+    fn queue_up(&mut self) {
+        let rank = if self.is_untouched() { Rank::Untouched } else { Rank::Started };
+        if self.ticket.as_ref().is_some_and(|t| t.rank() == rank) {
+            return;
+        }
+        self.ticket = Some(self.desk.caller.agents.backlog.enter(rank));
+    }
+
+    /// Whether there is a fair chance of room before the caller's time is up.
+    fn may_wait(&self, left: Duration) -> bool {
+        if self.ticket.is_some() {
+            return true;
+        }
+        let young = uptime().saturating_sub(self.desk.born) < WARM;
+        let served = self.plain_seats().iter().any(|s| s.space.ready);
+        let longest = self.desk.caller.agents.backlog.longest();
+        (served || young) && longest + self.job.estimate.mul_f64(RUN_MARGIN) < left
+    }
+
     fn send(
         &mut self,
         agent: Rc<Agent>,
@@ -395,6 +443,7 @@
         }
         if progress.space.capacity != lease::Size::default() {
             part.agent.reported(progress.space);
+            self.desk.caller.agents.backlog.room();
         }
         for settled in &progress.settled {
             if self.settle(settled, &part.agent.name) {
@@ -488,31 +537,17 @@
             size: self.job.size,
             count,
             estimate: self.job.estimate,
-            wait: self.wait(),
+            objective: self.objective,
+            age: self.age(),
             per_agent: if apart == 0 { usize::MAX } else { apart },
         }
     }
 
-    /// Longest wait that a task may still bear: within the objective while
-    /// nothing has started; after that the work done so far is worth finishing.
-    fn wait(&self) -> Duration {
-        let spent = self.age();
-        if !self.started.get() {
-            return self.objective.wait.saturating_sub(spent);
-        }
-        let left = self.left().unwrap_or_default();
-        left.saturating_sub(self.job.estimate).min(self.objective.useless.saturating_sub(spent))
-    }
-
     /// Nothing of it has run, and nothing is on its way.
     fn is_untouched(&self) -> bool {
         !self.started.get() && self.placed.is_empty()
     }
 
-    fn can_t_end(&self) -> bool {
-        self.started.get() && self.wait().is_zero()
-    }
-
     fn refuse(&self) -> JobAnswer {
         let seats = self.plain_seats();
         let refusal = self.desk.placer.borrow_mut().refuse(&seats, &self.ask(self.tasks.len()));
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod agent;
 mod agents;
+mod backlog;
 mod call;
 mod desk;
 mod front;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -3,7 +3,10 @@
 use lease::Size;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::Seat;
+use crate::{Objective, Seat};
+
+/// Wait allowed where there was room a moment ago.
+const LEAST_WAIT: Duration = Duration::from_millis(10);
 
 /// Settings of the choice of agents.
 #[derive(Clone, Debug)]
@@ -32,21 +35,40 @@
     pub size: Size,
     pub count: usize,
     pub estimate: Duration,
-    /// longest wait for the start
-    pub wait: Duration,
+    pub objective: Objective,
+    /// time since the job arrived
+    pub age: Duration,
     /// most tasks on one agent
     pub per_agent: usize,
 }
 
-/// Where the tasks go: for each agent its number of tasks, with the agent's
-/// index among the seats.
+/// Where the tasks go.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Spread {
-    pub parts: Vec<(usize, usize)>,
+    pub parts: Vec<Part>,
     /// tasks without a place
     pub left: usize,
 }
 
+/// Tasks for one agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// index of the agent among the seats
+    pub seat: usize,
+    pub tasks: usize,
+    /// longest wait for their start
+    pub wait: Duration,
+}
+
+/// Which places will do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Aim {
+    /// where the task is expected to end within the objective
+    InTime,
+    /// any with room now; the objective is missed anyway
+    AnyRoom,
+}
+
 /// Why no place was found, and when it is worth coming back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -80,18 +102,20 @@
 
     /// Finds a place for each task within the wait that it may bear: where it
     /// is expected to end first.
-    pub fn spread(&mut self, seats: &[Seat], ask: &Ask) -> Spread {
+    pub fn spread(&mut self, seats: &[Seat], ask: &Ask, aim: Aim) -> Spread {
         let mut candidates = self.candidates(seats, ask);
         let mut left = ask.count;
         while left > 0 {
-            let open = candidates.iter_mut().filter(|c| c.is_open(ask));
+            let open = candidates.iter_mut().filter(|c| c.is_open(ask, aim));
             let best = open.min_by_key(|c| c.cost(&self.settings, ask));
             let Some(best) = best else { break };
             best.take(ask);
             left -= 1;
         }
         let taken = candidates.into_iter().filter(|c| c.taken > 0);
-        Spread { parts: taken.map(|c| (c.index, c.taken)).collect(), left }
+        let parts =
+            taken.map(|c| Part { seat: c.index, tasks: c.taken, wait: c.longest(ask, aim) });
+        Spread { parts: parts.collect(), left }
     }
 
     /// When a job that has no place is worth sending again: once what waits
@@ -138,13 +162,30 @@
         ask.size.fits(self.free) && self.wait.is_zero()
     }
 
-    fn is_open(&self, ask: &Ask) -> bool {
-        self.taken < self.most && (self.has_room(ask) || self.wait <= ask.wait)
+    fn is_open(&self, ask: &Ask, aim: Aim) -> bool {
+        if self.taken >= self.most {
+            return false;
+        }
+        match aim {
+            Aim::InTime => self.expected_wait(ask) <= ask.objective.wait(ask.age, self.run),
+            Aim::AnyRoom => self.has_room(ask),
+        }
+    }
+
+    fn expected_wait(&self, ask: &Ask) -> Duration {
+        if self.has_room(ask) { Duration::ZERO } else { self.wait + self.turn }
+    }
+
+    fn longest(&self, ask: &Ask, aim: Aim) -> Duration {
+        match aim {
+            Aim::InTime => ask.objective.wait(ask.age, self.run).max(LEAST_WAIT),
+            Aim::AnyRoom => LEAST_WAIT,
+        }
     }
 
     fn cost(&self, settings: &PlacerSettings, ask: &Ask) -> Duration {
         if !self.has_room(ask) {
-            return self.wait + self.turn + self.run + self.noise;
+            return self.expected_wait(ask) + self.run + self.noise;
         }
         let spare = self.free.room_for(ask.size).saturating_sub(1).min(32);
         let risk = settings.collision * settings.risk.powi(spare as i32);
