Jobs don't wait for an answer of no use; entries dial each other soon after a start

Ruled out: agents (they dial within 135 ms of learning an address). Change: a job waits for room only while its answer is of use; entries retry each other every 100 ms at first.

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -281,20 +281,21 @@
                 return self.give_up(why);
             }
             let Some(left) = self.left() else { return self.out_of_time() };
-            if left < self.job.estimate && self.is_untouched() {
+            let useful = self.useful().min(left);
+            if useful < self.job.estimate && self.is_untouched() {
                 return self.refuse();
             }
             let unplaced = self.place(&mut waiting);
             if unplaced == 0 {
                 self.ticket = None;
-            } else if self.is_untouched() && !self.may_wait(left) {
+            } else if self.is_untouched() && !self.may_wait(useful) {
                 return self.refuse();
             } else if waiting.is_empty() && left < self.job.estimate {
                 return self.give_up("the rest can't end in time");
             } else {
                 self.queue_up();
             }
-            let limit = if unplaced > 0 { left.saturating_sub(self.job.estimate) } else { left };
+            let limit = if unplaced > 0 { useful.saturating_sub(self.job.estimate) } else { left };
             let limit = limit.max(LEAST_LIMIT);
             let ticket = self.ticket.as_ref();
             let cancel = self.cancel.clone();
@@ -376,7 +377,7 @@
         self.ticket = Some(self.desk.caller.agents.backlog.enter(rank));
     }
 
-    /// Whether there is a fair chance of room before the caller's time is up.
+    /// Whether there is a fair chance of room while an answer is of use.
     fn may_wait(&self, left: Duration) -> bool {
         if self.ticket.is_some() {
             return true;
@@ -581,6 +582,11 @@
         uptime().saturating_sub(self.arrived)
     }
 
+    /// Time left until an answer is of no use.
+    fn useful(&self) -> Duration {
+        self.objective.useless.saturating_sub(self.age())
+    }
+
     /// Time left for work, nothing when it is up.
     fn left(&self) -> Option<Duration> {
         let end = self.arrived + self.job.left.saturating_sub(ANSWER_TIME);
--- a/crates/dispatch/src/meeting.rs
+++ b/crates/dispatch/src/meeting.rs
@@ -15,7 +15,10 @@
 /// How often the other entries are met: a new one is known to all agents
 /// within about two of these.
 const MEET: Duration = Duration::from_millis(700);
-const MEET_LIMIT: Duration = Duration::from_millis(500);
+const MEET_LIMIT: Duration = Duration::from_millis(300);
+/// The same for one that can't be reached, while it may just be starting.
+const REDIAL: Duration = Duration::from_millis(100);
+const SOON: Duration = Duration::from_secs(4);
 /// An entry that nobody could meet for so long is no longer passed on.
 const FORGET: Duration = Duration::from_secs(20);
 
@@ -104,13 +107,14 @@
                 self.meet(entry, &link).await;
                 link.close();
             }
-            sleep(MEET).await;
             let met = self.known.borrow().get(&entry).map(Cell::get).unwrap_or_default();
-            let gone = uptime().saturating_sub(met.max(since)) > FORGET;
+            let away = uptime().saturating_sub(met.max(since));
+            let gone = away > FORGET;
             if gone && !self.named.borrow().contains(&entry) {
                 self.known.borrow_mut().remove(&entry);
                 return;
             }
+            sleep(if away > SOON { MEET } else { REDIAL }).await;
         }
     }
 
--- a/crates/place/src/objective.rs
+++ b/crates/place/src/objective.rs
@@ -6,11 +6,13 @@
     /// share of the slack of an objective that may be spent waiting, 0 to 1;
     /// the rest is for estimates that are too low
     pub wait_share: f64,
+    /// an answer is of no use after so many times the objective
+    pub late_factor: f64,
 }
 
 impl Default for ObjectiveSettings {
     fn default() -> Self {
-        Self { wait_share: 0.8 }
+        Self { wait_share: 0.8, late_factor: 3.0 }
     }
 }
 
@@ -19,6 +21,8 @@
 pub struct Objective {
     /// response time aimed at, counted from the arrival
     pub target: Duration,
+    /// response time after which the answer is of no use
+    pub useless: Duration,
     wait_share: f64,
 }
 
@@ -32,7 +36,8 @@
         extra: Duration,
     ) -> Self {
         let target = estimate.mul_f64(stretch.max(1.0)) + extra;
-        Self { target, wait_share: settings.wait_share }
+        let useless = target.mul_f64(settings.late_factor);
+        Self { target, useless, wait_share: settings.wait_share }
     }
 
     /// Longest wait, from `age` on, of a task that runs for `run`.
