--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -164,22 +164,6 @@
         answer
     }
 
-    /// Run time over estimate on a backend server of the service's mean speed:
-    /// what estimates leave out is the same for all jobs.
-    fn usual_slowness(&self, service: &str) -> f64 {
-        let agents = self.caller.agents.of_service(service, self.settings.chain.session);
-        let speeds: Vec<f64> = agents
-            .iter()
-            .map(|a| a.space())
-            .filter(|s| s.ready && s.slowness > 0.0)
-            .map(|s| 1.0 / s.slowness)
-            .collect();
-        if speeds.is_empty() {
-            return 1.0;
-        }
-        speeds.len() as f64 / speeds.iter().sum::<f64>()
-    }
-
     fn next_batch(&self) -> u64 {
         self.batches.set(self.batches.get() + 1);
         self.batches.get()
@@ -250,12 +234,8 @@
 impl Run {
     fn new(desk: Rc<Desk>, job: Job, started: Rc<Cell<bool>>, cancel: Rc<Cancel>) -> Self {
         let target = Duration::from_millis(job.rules.target_ms);
-        let objective = Objective::new(
-            &desk.settings.objective,
-            job.estimate.mul_f64(desk.usual_slowness(&job.rules.service)),
-            job.rules.stretch,
-            target,
-        );
+        let objective =
+            Objective::new(&desk.settings.objective, job.estimate, job.rules.stretch, target);
         let count = job.count as usize;
         Self {
             desk,
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -20,24 +20,11 @@
     pub jitter: f64,
     /// shortest time to come back
     pub min_retry: Duration,
-    /// weight of the work that a fast backend server could do meanwhile, once
-    /// all room is taken: what any can do in time leaves the fast ones to
-    /// what only they can
-    pub thrift: f64,
-    /// share of the room in use up to which that doesn't count, 0 to 1
-    pub thrift_from: f64,
 }
 
 impl Default for PlacerSettings {
     fn default() -> Self {
-        Self {
-            risk: 0.6,
-            collision: 0.5,
-            jitter: 0.05,
-            min_retry: Duration::from_millis(1000),
-            thrift: 1.2,
-            thrift_from: 0.5,
-        }
+        Self { risk: 0.6, collision: 0.5, jitter: 0.05, min_retry: Duration::from_millis(1000) }
     }
 }
 
@@ -103,8 +90,6 @@
     turn: Duration,
     run: Duration,
     noise: Duration,
-    /// cost of keeping a fast backend server from other work
-    thrift: Duration,
     /// tasks that it may get in all
     most: usize,
     taken: usize,
@@ -142,20 +127,7 @@
         Refusal { retry_after: after + after.mul_f64(self.rng.random()) }
     }
 
-    /// Weight of thrift at the present use of all room.
-    fn thrift(&self, seats: &[Seat]) -> f64 {
-        let ready = seats.iter().filter(|s| s.space.ready);
-        let (free, all) = ready.fold((0.0, 0.0), |(free, all), s| {
-            let left = s.space.free.minus(s.unreported).cpu;
-            (free + f64::from(left), all + f64::from(s.space.capacity.cpu))
-        });
-        let used = if all > 0.0 { 1.0 - free / all } else { 1.0 };
-        let from = self.settings.thrift_from;
-        self.settings.thrift * ((used - from) / (1.0 - from)).clamp(0.0, 1.0)
-    }
-
     fn candidates(&mut self, seats: &[Seat], ask: &Ask) -> Vec<Candidate> {
-        let weight = self.thrift(seats);
         let usable = seats
             .iter()
             .enumerate()
@@ -178,7 +150,6 @@
                     noise: run.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
                     // a suspect backend server is only tried
                     most: if seat.space.suspect { 1 } else { ask.per_agent },
-                    thrift: ask.estimate.mul_f64(weight / seat.space.slowness.max(0.05)),
                     taken: 0,
                 }
             })
@@ -214,11 +185,11 @@
 
     fn cost(&self, settings: &PlacerSettings, ask: &Ask) -> Duration {
         if !self.has_room(ask) {
-            return self.expected_wait(ask) + self.run + self.noise + self.thrift;
+            return self.expected_wait(ask) + self.run + self.noise;
         }
         let spare = self.free.room_for(ask.size).saturating_sub(1).min(32);
         let risk = settings.collision * settings.risk.powi(spare as i32);
-        self.run + self.run.mul_f64(risk) + self.noise + self.thrift
+        self.run + self.run.mul_f64(risk) + self.noise
     }
 
     fn take(&mut self, ask: &Ask) {
