Tests of leases, and of the whole path on stand-ins of the platform; a schedule that runs a task twice

An agent that freezes between taking a task and ordering its start orders it when it wakes. Its session is extended by the first word it hears before it is found to have lapsed.

--- a/crates/lease/src/chain.rs
+++ b/crates/lease/src/chain.rs
@@ -56,6 +56,8 @@
             .saturating_sub(fixed)
             .div_f64(1.0 + CLOCK_SLACK)
             .min(settings.hold.div_f64(CLOCK_SLACK));
+        // whole milliseconds, as backend servers count them
+        let hold = Duration::from_millis(hold.as_millis() as u64);
         if hold < SHORTEST {
             let least = SHORTEST.mul_f64(1.0 + CLOCK_SLACK) + fixed;
             let hold = SHORTEST.mul_f64(CLOCK_SLACK);
--- /dev/null
+++ b/crates/lease/tests/book.rs
@@ -0,0 +1,438 @@
+//! What the book of an agent decides, one situation a case.
+
+use std::time::Duration;
+
+use base::Uptime;
+use lease::{
+    Batch, BatchKey, Book, BookSettings, Chain, ChainSettings, Effect, Ended, Ending,
+    HealthSettings, Listing, Placement, Refused, Running, SessionId, Size, StartOrder, Started,
+    StopCause, StopOrder, TaskRef,
+};
+
+const ENTRY: SessionId = SessionId(1);
+const CORES: u32 = 10_000;
+
+macro_rules! cases {
+    ($($name:ident: $scene:expr;)*) => {
+        $(#[test] fn $name() { let scene: fn(Scene) = $scene; scene(Scene::new()); })*
+    };
+}
+
+cases! {
+    starts_at_once_where_there_is_room: |mut s| {
+        s.place(1, 2, 300);
+        assert_eq!(s.starts().len(), 2);
+    };
+    waits_for_room_and_starts_when_a_run_ends: |mut s| {
+        s.place(1, 3, 300);
+        let first = s.starts();
+        assert_eq!(first.len(), 2, "two of three have room");
+        s.all_start(&first);
+        s.at(50);
+        s.end(1, &first[0], StopCause::Done);
+        assert_eq!(s.starts().len(), 1);
+    };
+    hands_back_what_gets_no_room_in_time: |mut s| {
+        let key = s.place(1, 3, 100);
+        let first = s.starts();
+        s.all_start(&first);
+        s.at(101);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        assert!(s.starts().is_empty());
+    };
+    hands_back_at_once_what_can_t_start_in_time: |mut s| {
+        s.place(1, 2, 1000);
+        let first = s.starts();
+        s.all_start(&first);
+        let key = s.place(2, 1, 1);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+    };
+    a_job_larger_than_the_backend_server_is_handed_back: |mut s| {
+        let key = s.place_sized(1, 1, 300, Size { cpu: CORES + 1, ..Size::default() });
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+    };
+    a_lapsed_session_stops_its_runs: |mut s| {
+        s.place(1, 2, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        s.silence();
+        s.at(600);
+        assert_eq!(s.stops().len(), 2);
+    };
+    after_a_sleep_nothing_starts_for_a_lapsed_session: |mut s| {
+        s.place(1, 3, 5000);
+        let first = s.starts();
+        s.all_start(&first);
+        s.silence();
+        // the backend server ends a run while the agent sleeps
+        s.now = Scene::ms(3000);
+        s.end(1, &first[0], StopCause::Done);
+        assert!(s.starts().is_empty(), "no start on the word of a session that lapsed");
+    };
+    no_lease_without_a_session: |mut s| {
+        s.silence();
+        s.at(600);
+        let now = s.now;
+        assert_eq!(s.book.lease(now), None);
+    };
+    no_lease_beyond_the_session: |mut s| {
+        s.silence();
+        s.at(400);
+        let chain = s.chain;
+        let now = s.now;
+        let until = s.book.lease(now).expect("the session is open");
+        assert!(until <= Scene::ms(0) + chain.session, "{until:?}");
+    };
+    an_unanswered_order_is_voided_before_it_is_given_again: |mut s| {
+        s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::Unclear);
+        let stops = s.stops();
+        assert_eq!(stops, [StopOrder { task: order.task.clone(), run: order.run }]);
+        s.list(&[]);
+        assert!(s.starts().is_empty(), "not before the stop is confirmed");
+        s.confirm(&stops[0]);
+        s.at(5);
+        s.list(&[]);
+        assert_eq!(s.starts()[0].run, order.run + 1);
+    };
+    an_unanswered_stop_is_ordered_again: |mut s| {
+        s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::Unclear);
+        assert_eq!(s.stops().len(), 1);
+        s.at(40);
+        assert_eq!(s.stops().len(), 1);
+    };
+    a_run_given_up_is_not_started_again: |mut s| {
+        let key = s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::Unclear);
+        let stop = s.stops().remove(0);
+        let now = s.now;
+        s.book.give_up(key, now);
+        s.confirm(&stop);
+        s.at(5);
+        s.list(&[]);
+        assert!(s.starts().is_empty());
+        assert_eq!(s.endings(key), [Ending::Lost]);
+    };
+    a_number_that_was_used_before_rises: |mut s| {
+        s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::No(Refused::Old));
+        assert!(s.starts()[0].run > order.run);
+    };
+    without_room_it_is_tried_again_later: |mut s| {
+        s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::No(Refused::Room));
+        assert!(s.starts().is_empty());
+        s.at(30);
+        assert_eq!(s.starts().len(), 1);
+    };
+    a_refusal_is_handed_back_as_not_run: |mut s| {
+        let key = s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, Started::No(Refused::Busy));
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+    };
+    a_backend_server_reborn_has_lost_its_runs: |mut s| {
+        let key = s.place(1, 2, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        let now = s.now;
+        s.book.listed(&Listing { asked: now, born: 2, ..Listing::default() }, now);
+        assert_eq!(s.endings(key), [Ending::Lost, Ending::Lost]);
+    };
+    word_of_an_earlier_life_changes_nothing: |mut s| {
+        let key = s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        let now = s.now;
+        s.book.announced(0, Size { cpu: CORES, ..Size::default() }, false, now);
+        assert!(s.book.progress(key, 0, now).is_none(), "it still runs");
+    };
+    a_run_that_vanished_is_lost: |mut s| {
+        let key = s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        s.at(10);
+        s.list(&[]);
+        assert_eq!(s.endings(key), [Ending::Lost]);
+    };
+    a_listing_asked_for_before_the_start_tells_nothing: |mut s| {
+        let key = s.place(1, 1, 300);
+        let asked = s.now;
+        let first = s.starts();
+        s.now += Duration::from_millis(5);
+        s.all_start(&first);
+        s.now += Duration::from_millis(5);
+        let now = s.now;
+        s.book.listed(&Listing { asked, born: 1, ..Listing::default() }, now);
+        assert!(s.book.progress(key, 0, now).is_none(), "it may run");
+    };
+    a_stray_run_is_stopped_and_nothing_is_taken_meanwhile: |mut s| {
+        let stray = TaskRef { job: "stray".into(), index: 0 };
+        let row = Running { task: stray.clone(), run: 7, percent: 10 };
+        let now = s.now;
+        s.book.listed(&Listing { asked: now, born: 1, running: vec![row], ended: vec![] }, now);
+        assert_eq!(s.stops(), [StopOrder { task: stray, run: 7 }]);
+        assert!(!s.book.space(now).ready);
+        s.at(5);
+        s.list(&[]);
+        assert!(s.book.space(now).ready);
+    };
+    a_silent_backend_server_gets_nothing: |mut s| {
+        let now = s.now;
+        s.book.unlisted(now);
+        s.book.unlisted(now);
+        assert!(!s.book.space(now).ready);
+    };
+    leases_that_lapsed_end_all_runs: |mut s| {
+        let key = s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        s.at(2000);
+        assert_eq!(s.endings(key), [Ending::Lost], "no listing for longer than any lease");
+    };
+    a_draining_backend_server_gets_nothing_and_keeps_what_runs: |mut s| {
+        let key = s.place(1, 3, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        let now = s.now;
+        s.book.announced(1, Size { cpu: CORES, ..Size::default() }, true, now);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        assert!(s.stops().is_empty());
+        let other = s.place(2, 1, 300);
+        assert_eq!(s.endings(other), [Ending::NotRun]);
+    };
+    a_stopping_agent_hands_back_what_waits: |mut s| {
+        let key = s.place(1, 3, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        let now = s.now;
+        s.book.leave(now);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        assert!(s.stops().is_empty());
+        s.book.abandon(now);
+        assert_eq!(s.stops().len(), 2);
+    };
+    an_end_counts_once: |mut s| {
+        let key = s.place(1, 2, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        s.end(1, &first[0], StopCause::Failed);
+        s.end(1, &first[0], StopCause::Failed);
+        assert_eq!(s.endings(key), [Ending::Failed]);
+        assert_eq!(s.book.acked(), 1);
+    };
+    a_run_that_stands_still_is_stopped: |mut s| {
+        s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        for at in [10, 100, 200, 320] {
+            s.at(at);
+            s.list_running(&first[0], 5);
+        }
+        assert_eq!(s.stops().len(), 1);
+    };
+    a_run_that_goes_on_is_left_alone: |mut s| {
+        s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        for (at, percent) in [(10, 5), (300, 20), (590, 40), (880, 60)] {
+            s.at(at);
+            s.list_running(&first[0], percent);
+        }
+        assert!(s.stops().is_empty());
+    };
+    a_backend_server_that_fails_everything_is_only_probed: |mut s| {
+        for n in 1..=3 {
+            s.place(n, 1, 300);
+            let first = s.starts();
+            s.all_start(&first);
+            s.end(n, &first[0], StopCause::Failed);
+        }
+        let now = s.now;
+        assert!(s.book.space(now).suspect);
+        assert!(!s.book.space(now).ready);
+        s.at(1100);
+        let now = s.now;
+        assert!(s.book.space(now).ready, "one probe is due");
+        s.place(4, 2, 300);
+        assert_eq!(s.starts().len(), 1, "one task, not two");
+    };
+    the_same_batch_is_taken_once: |mut s| {
+        let key = s.place(1, 1, 300);
+        assert_eq!(s.place(1, 1, 300), key);
+        assert_eq!(s.starts().len(), 1);
+    };
+    a_batch_on_the_word_of_an_entry_long_silent_is_handed_back: |mut s| {
+        s.silence();
+        s.at(600);
+        let key = s.place(1, 1, 300);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        assert!(s.starts().is_empty());
+    };
+}
+
+#[test]
+fn a_chain_ends_all_runs_before_a_job_comes_again() {
+    for resend in [700, 1000, 1300, 2500, 9000] {
+        for hold in [300, 600, 1000, 5000] {
+            let settings = ChainSettings {
+                resend: Duration::from_millis(resend),
+                hold: Duration::from_millis(hold),
+                ..ChainSettings::default()
+            };
+            let chain = Chain::new(&settings).expect("there is time enough");
+            assert!(chain.over <= settings.resend, "{chain:?} for {settings:?}");
+            assert!(Chain::lapse(chain.hold) <= settings.hold, "{chain:?} for {settings:?}");
+            assert!(chain.renewal() * 3 < chain.hold && chain.beat() * 3 < chain.session);
+        }
+    }
+}
+
+#[test]
+fn a_chain_without_time_is_refused() {
+    let settings = ChainSettings { resend: Duration::from_millis(400), ..ChainSettings::default() };
+    let error = Chain::new(&settings).expect_err("too little time").to_string();
+    assert!(error.contains("604"), "says what is needed: {error}");
+}
+
+/// One agent with a backend server of two tasks' room and one entry.
+struct Scene {
+    book: Book,
+    chain: Chain,
+    now: Uptime,
+    heard: bool,
+    effects: Vec<Effect>,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let chain = Chain::new(&ChainSettings::default()).expect("defaults are sound");
+        let settings = BookSettings { chain, health: HealthSettings::default(), queue: 100 };
+        let mut scene = Self {
+            book: Book::new(settings),
+            chain,
+            now: Self::ms(0),
+            heard: true,
+            effects: Vec::new(),
+        };
+        scene.book.announced(1, Size { cpu: CORES, ..Size::default() }, false, scene.now);
+        scene.list(&[]);
+        scene
+    }
+
+    /// A time of the scene; the machine started a while before.
+    fn ms(ms: u64) -> Uptime {
+        Duration::from_millis(100_000 * u64::from(ms < 100_000) + ms)
+    }
+
+    /// The entry is heard no more.
+    fn silence(&mut self) {
+        self.hear();
+        self.heard = false;
+    }
+
+    fn hear(&mut self) {
+        if self.heard {
+            self.book.heard(ENTRY, &"entry".into(), self.now, self.now);
+        }
+    }
+
+    fn at(&mut self, ms: u64) {
+        self.now = Self::ms(ms);
+        self.hear();
+        self.book.tick(self.now);
+    }
+
+    fn place(&mut self, number: u64, tasks: u32, wait_ms: u64) -> BatchKey {
+        self.place_sized(number, tasks, wait_ms, Size { cpu: CORES / 2, ..Size::default() })
+    }
+
+    fn place_sized(&mut self, number: u64, tasks: u32, wait_ms: u64, size: Size) -> BatchKey {
+        self.hear();
+        let batch = Batch {
+            number,
+            job: format!("job-{number}").as_str().into(),
+            spec: "spec".into(),
+            size,
+            estimate: Duration::from_millis(100),
+            wait: Duration::from_millis(wait_ms),
+            left: Duration::from_secs(10),
+            tasks: (0..tasks).map(|index| Placement { index, run: 1 }).collect(),
+        };
+        self.book.place(ENTRY, batch, self.now)
+    }
+
+    fn take(&mut self) {
+        self.effects.extend(self.book.effects());
+    }
+
+    fn starts(&mut self) -> Vec<StartOrder> {
+        self.take();
+        let found = self.effects.iter().filter_map(|e| match e {
+            Effect::Start(order) => Some(order.clone()),
+            _ => None,
+        });
+        let found = found.collect();
+        self.effects.retain(|e| !matches!(e, Effect::Start(_)));
+        found
+    }
+
+    fn stops(&mut self) -> Vec<StopOrder> {
+        self.take();
+        let found = self.effects.iter().filter_map(|e| match e {
+            Effect::Stop(order) => Some(order.clone()),
+            _ => None,
+        });
+        let found = found.collect();
+        self.effects.retain(|e| !matches!(e, Effect::Stop(_)));
+        found
+    }
+
+    fn answer(&mut self, order: &StartOrder, started: Started) {
+        // an order without a lease is never given
+        assert!(self.book.lease(self.now).is_some());
+        self.book.started(order.key, started, self.now);
+    }
+
+    fn all_start(&mut self, orders: &[StartOrder]) {
+        for order in orders {
+            self.answer(order, Started::Yes);
+        }
+    }
+
+    fn confirm(&mut self, order: &StopOrder) {
+        self.book.stop_confirmed(order, self.now);
+    }
+
+    /// Renews the leases, and gives the listing that comes with it.
+    fn list(&mut self, running: &[Running]) {
+        self.book.lease(self.now);
+        let listing =
+            Listing { asked: self.now, born: 1, running: running.to_vec(), ended: vec![] };
+        self.book.listed(&listing, self.now);
+    }
+
+    fn list_running(&mut self, order: &StartOrder, percent: u32) {
+        self.list(&[Running { task: order.task.clone(), run: order.run, percent }]);
+    }
+
+    /// The backend server lists an end; what else was started goes on.
+    fn end(&mut self, number: u64, order: &StartOrder, cause: StopCause) {
+        let row = Ended { number, task: order.task.clone(), run: order.run, cause };
+        // asked for long ago, so that what it doesn't show may run
+        let listing =
+            Listing { asked: Uptime::ZERO, born: 1, running: Vec::new(), ended: vec![row] };
+        self.book.listed(&listing, self.now);
+    }
+
+    fn endings(&mut self, key: BatchKey) -> Vec<Ending> {
+        let progress = self.book.progress(key, 0, self.now);
+        progress.map(|p| p.settled.iter().map(|s| s.ending).collect()).unwrap_or_default()
+    }
+}
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,8 +1,9 @@
 use std::{
-    env, fs,
+    env,
+    fs::{self, File},
     net::TcpListener,
     ops::Range,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{self, Child, Command, ExitStatus, Stdio},
     sync::{Mutex, PoisonError},
     time::Duration,
@@ -28,8 +29,21 @@
 impl Process {
     /// Starts one of our programs.
     pub fn start(program: &str, args: &[String]) -> Self {
+        match env::var_os("EGRET_LOGS") {
+            Some(_) => Self::start_to(program, args, Stdio::inherit()),
+            None => Self::start_to(program, args, Stdio::null()),
+        }
+    }
+
+    /// The same with its log in a file.
+    pub fn start_logged(program: &str, args: &[String], log: &Path) -> Self {
+        let log = File::create(log).expect("the log file can be made");
+        Self::start_to(program, args, log.into())
+    }
+
+    fn start_to(program: &str, args: &[String], log: Stdio) -> Self {
         let mut command = Command::new(program_path(program));
-        command.args(args).stdin(Stdio::null()).stdout(Stdio::null());
+        command.args(args).stdin(Stdio::null()).stdout(log);
         if env::var_os("EGRET_LOGS").is_none() {
             command.stderr(Stdio::null());
         }
