An agent that slept ends what lapsed before it hears or orders anything

The agent froze between taking the task and ordering its start; on waking, the first greeting extended the session, and the order went out under a fresh lease while its entry had long placed the task anew. Ruled out: late orders (none was on its way) and the wait of the entry (1,299 ms had passed). Change: what lapsed is ended before a session is extended; an order is given only while its run is still to start, under the lease of its own session.

--- a/crates/lease/src/book.rs
+++ b/crates/lease/src/book.rs
@@ -142,6 +142,8 @@
 
     /// An entry is known to have lived at some time.
     pub fn heard(&mut self, id: SessionId, name: &Name, at: Uptime, now: Uptime) {
+        // what lapsed while this agent slept stays lapsed, whoever is heard now
+        self.lapse_sessions(now);
         if at + self.settings.chain.session < now {
             return;
         }
@@ -319,6 +321,18 @@
         Some(until)
     }
 
+    /// Until when a run that is about to be ordered is to be leased; `None`
+    /// when it is no longer to start.
+    pub fn lease_start(&mut self, key: RunKey, now: Uptime) -> Option<Uptime> {
+        self.lapse_sessions(now);
+        let run = self.runs.get(key).filter(|r| r.state == State::Starting)?;
+        let heard = self.sessions.get(&self.session_of(run)?)?.heard;
+        let Chain { session, hold, .. } = self.settings.chain;
+        let until = (heard + session).min(now + hold);
+        self.leased = self.leased.max(until);
+        Some(until)
+    }
+
     /// Newest end that was taken note of.
     pub fn acked(&self) -> u64 {
         self.acked
--- a/crates/lease/tests/book.rs
+++ b/crates/lease/tests/book.rs
@@ -69,6 +69,17 @@
         s.end(1, &first[0], StopCause::Done);
         assert!(s.starts().is_empty(), "no start on the word of a session that lapsed");
     };
+    an_order_is_not_given_once_its_session_has_lapsed: |mut s| {
+        s.place(1, 1, 5000);
+        let order = s.starts().remove(0);
+        s.silence();
+        s.now = Scene::ms(3000);
+        let now = s.now;
+        // another entry is heard first when the agent wakes, then this one
+        s.book.heard(SessionId(2), &"other".into(), now, now);
+        s.book.heard(ENTRY, &"entry".into(), now, now);
+        assert_eq!(s.book.lease_start(order.key, now), None);
+    };
     no_lease_without_a_session: |mut s| {
         s.silence();
         s.at(600);
@@ -396,7 +407,7 @@
 
     fn answer(&mut self, order: &StartOrder, started: Started) {
         // an order without a lease is never given
-        assert!(self.book.lease(self.now).is_some());
+        assert!(self.book.lease_start(order.key, self.now).is_some());
         self.book.started(order.key, started, self.now);
     }
 
--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -21,6 +21,8 @@
 const STEP: Duration = Duration::from_millis(10);
 const STEPS: u64 = 900;
 const SLOW_CLOCK: f64 = 1.02;
+/// Freeze of an agent whose order is on its way.
+const FREEZE: Duration = Duration::from_millis(3000);
 /// Schedules looked at for each rule that is left out.
 const MUTANT_SEEDS: u64 = 3000;
 
@@ -40,7 +42,8 @@
 
 #[derive(Default)]
 struct Backend {
-    runs: BTreeMap<TaskRef, (u32, Uptime)>,
+    /// number, begin and end of each
+    runs: BTreeMap<TaskRef, (u32, Uptime, Uptime)>,
     over: HashMap<TaskRef, u32>,
     ended: Vec<Ended>,
     lease: Uptime,
@@ -57,18 +60,18 @@
             return Started::No(Refused::Old);
         }
         match self.runs.get(&order.task) {
-            Some((run, _)) if *run == order.run => Started::Yes,
+            Some((run, ..)) if *run == order.run => Started::Yes,
             Some(_) => Started::No(Refused::Old),
             None => {
-                let length = Duration::from_millis(200 + 37 * u64::from(order.run) % 900);
-                self.runs.insert(order.task.clone(), (order.run, now + length));
+                let length = Duration::from_millis(200 + 370 * u64::from(order.run) % 2600);
+                self.runs.insert(order.task.clone(), (order.run, now, now + length));
                 Started::Yes
             }
         }
     }
 
     fn stop(&mut self, order: &StopOrder) {
-        if self.runs.get(&order.task).is_some_and(|(run, _)| *run <= order.run) {
+        if self.runs.get(&order.task).is_some_and(|(run, ..)| *run <= order.run) {
             self.end(&order.task.clone(), StopCause::Stopped);
         }
         let over = self.over.entry(order.task.clone()).or_default();
@@ -82,7 +85,7 @@
     }
 
     fn end(&mut self, task: &TaskRef, cause: StopCause) {
-        let Some((run, _)) = self.runs.remove(task) else { return };
+        let Some((run, ..)) = self.runs.remove(task) else { return };
         let over = self.over.entry(task.clone()).or_default();
         *over = (*over).max(run);
         let number = self.ended.last().map_or(1, |e| e.number + 1);
@@ -96,8 +99,12 @@
         for (_, order, until) in due {
             self.start(&order, until, now);
         }
-        let done: Vec<TaskRef> =
-            self.runs.iter().filter(|(_, (_, end))| *end <= now).map(|(t, _)| t.clone()).collect();
+        let done: Vec<TaskRef> = self
+            .runs
+            .iter()
+            .filter(|(_, (_, _, end))| *end <= now)
+            .map(|(t, _)| t.clone())
+            .collect();
         for task in done {
             self.end(&task, StopCause::Done);
         }
@@ -114,7 +121,10 @@
             asked,
             born: 1,
             running: running
-                .map(|(task, (run, _))| Running { task: task.clone(), run: *run, percent: 50 })
+                .map(|(task, (run, begin, _))| {
+                    let percent = asked.saturating_sub(*begin).as_millis() as u32 / 30;
+                    Running { task: task.clone(), run: *run, percent }
+                })
                 .collect(),
             ended: self.ended.clone(),
         }
@@ -249,10 +259,10 @@
         let luck = self.rng.random_range(0..20);
         let late = now + Duration::from_millis(self.rng.random_range(600..4000));
         let without = self.without;
-        let Agent { book, backend, .. } = &mut self.agents[i];
+        let Agent { book, backend, frozen, .. } = &mut self.agents[i];
         match effect {
             Effect::Start(order) => {
-                let Some(until) = book.lease(now) else {
+                let Some(until) = book.lease_start(order.key, now) else {
                     return book.started(order.key, Started::No(Refused::Late), now);
                 };
                 let holds = match without {
@@ -263,6 +273,10 @@
                     // never carried out in time, but later
                     0 | 1 => {
                         backend.late.push((late, order.clone(), holds));
+                        // the agent may not live to void it
+                        if luck == 0 {
+                            *frozen = now + FREEZE;
+                        }
                         Started::Unclear
                     }
                     // carried out, and the answer is lost
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -278,7 +278,7 @@
     }
 
     async fn start_run(self: Rc<Self>, order: StartOrder) {
-        let until = self.book.borrow_mut().lease(uptime());
+        let until = self.book.borrow_mut().lease_start(order.key, uptime());
         let Some(until) = until.and_then(|until| self.on_their_clock(until)) else {
             // without a lease, or the backend server's clock, nothing can be ordered
             return self.with_book(|book, now| {
