A place with room is in time only if the run ends in time

Cause: two red tests of the placer: the longest wait of a run that takes longer than the objective came out as zero, which a place with room fulfils, so work went to backend servers where it was sure to be late although a short wait elsewhere would do. Change: there is no such wait then.

--- a/crates/place/src/objective.rs
+++ b/crates/place/src/objective.rs
@@ -40,8 +40,10 @@
         Self { target, useless, wait_share: settings.wait_share }
     }
 
-    /// Longest wait, from `age` on, of a task that runs for `run`.
-    pub fn wait(&self, age: Duration, run: Duration) -> Duration {
-        self.target.saturating_sub(run).mul_f64(self.wait_share).saturating_sub(age)
+    /// Longest wait, from `age` on, of a task that runs for `run`; `None` when
+    /// it can't end in time any more.
+    pub fn wait(&self, age: Duration, run: Duration) -> Option<Duration> {
+        let slack = self.target.checked_sub(run)?;
+        slack.mul_f64(self.wait_share).checked_sub(age)
     }
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -168,7 +168,10 @@
             return false;
         }
         match aim {
-            Aim::InTime => self.expected_wait(ask) <= ask.objective.wait(ask.age, self.run),
+            Aim::InTime => {
+                let most = ask.objective.wait(ask.age, self.run);
+                most.is_some_and(|most| self.expected_wait(ask) <= most)
+            }
             Aim::AnyRoom => self.has_room(ask),
         }
     }
@@ -179,7 +182,9 @@
 
     fn longest(&self, ask: &Ask, aim: Aim) -> Duration {
         match aim {
-            Aim::InTime => ask.objective.wait(ask.age, self.run).max(LEAST_WAIT),
+            Aim::InTime => {
+                ask.objective.wait(ask.age, self.run).unwrap_or_default().max(LEAST_WAIT)
+            }
             Aim::AnyRoom => LEAST_WAIT,
         }
     }
