Agents hand back early what others have got ahead of

Change: at every change of the queue, a task whose expected start has moved past its latest one is handed back at once.

--- a/crates/lease/src/book.rs
+++ b/crates/lease/src/book.rs
@@ -391,6 +391,7 @@
         self.lapse_leases(now);
         self.drop_late(now);
         self.start_waiting(now);
+        self.drop_hopeless(now);
         self.retry_stops(now);
         self.forget_closed(now);
     }
@@ -447,6 +448,26 @@
         }
     }
 
+    /// Hands back what others have got ahead of, while it can still end in time
+    /// elsewhere.
+    fn drop_hopeless(&mut self, now: Uptime) {
+        let mut ahead = 0.0;
+        let mut hopeless = Vec::new();
+        for (latest, key) in &self.queue {
+            let Some(run) = self.runs.get(*key) else { continue };
+            let cpu = f64::from(self.size_of(run).cpu);
+            if now + self.time_to_free(ahead + cpu) > *latest {
+                hopeless.push((*latest, *key));
+            } else {
+                ahead += cpu;
+            }
+        }
+        for entry in hopeless {
+            self.queue.remove(&entry);
+            self.settle(entry.1, Ending::NotRun, "no room expected in time", now);
+        }
+    }
+
     fn start_waiting(&mut self, now: Uptime) {
         if self.unready().is_some() || self.room_at > now {
             return;
@@ -585,8 +606,6 @@
 
     /// Expected wait of a task that goes behind those that must start before `latest`.
     fn wait_behind(&self, latest: Uptime) -> Duration {
-        let Some(backend) = &self.backend else { return Duration::ZERO };
-        let mean = self.speed.mean();
         let ahead: f64 = self
             .queue
             .iter()
@@ -594,18 +613,22 @@
             .filter_map(|(_, key)| self.runs.get(*key))
             .map(|run| f64::from(self.size_of(run).cpu))
             .sum();
-        let active: f64 = self
-            .active()
-            .filter_map(|k| self.runs.get(k))
-            .map(|r| f64::from(self.size_of(r).cpu))
-            .sum();
-        if active == 0.0 {
-            return Duration::ZERO;
-        }
-        let count = self.active().count().max(1) as f64;
-        // one more task of the usual size, and what is free already
-        let wanted = ahead + active / count - f64::from(self.free().cpu);
-        mean.mul_f64((wanted / f64::from(backend.capacity.cpu.max(1))).max(0.0))
+        // one more task of the usual size
+        self.time_to_free(ahead + self.usual_cpu())
+    }
+
+    /// Expected time until so much more of the processors is free.
+    fn time_to_free(&self, cpu: f64) -> Duration {
+        let Some(backend) = &self.backend else { return Duration::ZERO };
+        let missing = (cpu - f64::from(self.free().cpu)).max(0.0);
+        self.speed.mean().mul_f64(missing / f64::from(backend.capacity.cpu.max(1)))
+    }
+
+    /// Processors that a run takes here, in the mean.
+    fn usual_cpu(&self) -> f64 {
+        let sizes = self.active().filter_map(|k| self.runs.get(k)).map(|r| self.size_of(r).cpu);
+        let (count, sum) = sizes.fold((0u32, 0.0), |(n, sum), cpu| (n + 1, sum + f64::from(cpu)));
+        sum / f64::from(count.max(1))
     }
 
     fn enqueue(&mut self, batch: BatchKey, task: Placement, latest: Uptime, now: Uptime) {
--- a/crates/lease/tests/book.rs
+++ b/crates/lease/tests/book.rs
@@ -47,6 +47,16 @@
         let key = s.place(2, 1, 1);
         assert_eq!(s.endings(key), [Ending::NotRun]);
     };
+    hands_back_early_what_others_get_ahead_of: |mut s| {
+        s.place(1, 2, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        // one more would wait about 50 ms, and bears 90
+        let key = s.place(2, 1, 90);
+        assert!(s.endings(key).is_empty());
+        s.place(3, 1, 60);
+        assert_eq!(s.endings(key), [Ending::NotRun], "handed back while there is time elsewhere");
+    };
     a_job_larger_than_the_backend_server_is_handed_back: |mut s| {
         let key = s.place_sized(1, 1, 300, Size { cpu: CORES + 1, ..Size::default() });
         assert_eq!(s.endings(key), [Ending::NotRun]);
