A listing that was overtaken names no stray run

Ruled out: an earlier process (none) and a number used twice. Change: ends are remembered for a second. Before: the new case red.

--- a/crates/lease/src/book.rs
+++ b/crates/lease/src/book.rs
@@ -27,6 +27,8 @@
 /// How long a reply can still be asked for once all of a batch has settled;
 /// longer than an entry waits for a lost link.
 const KEEP_CLOSED: Duration = Duration::from_secs(5);
+/// How long an end is remembered; answers don't overtake each other by more.
+const KEEP_OVER: Duration = Duration::from_secs(1);
 /// Listings that fail in a row until the backend server counts as silent.
 const SILENT_AFTER: u32 = 2;
 /// Share of the work at which the speed of a run is sampled.
@@ -69,6 +71,8 @@
     clean: bool,
     /// newest end that was taken note of
     acked: u64,
+    /// number of each run that was listed as ended, and when
+    over: HashMap<TaskRef, (u32, Uptime)>,
     room_at: Uptime,
     leaving: bool,
     effects: Vec<Effect>,
@@ -99,6 +103,7 @@
             missed: 0,
             clean: false,
             acked: 0,
+            over: HashMap::new(),
             room_at: Uptime::ZERO,
             leaving: false,
             effects: Vec::new(),
@@ -557,6 +562,7 @@
     }
 
     fn forget_closed(&mut self, now: Uptime) {
+        self.over.retain(|_, (_, at)| *at + KEEP_OVER > now);
         let old = |b: &BatchState| b.closed.is_some_and(|at| at + KEEP_CLOSED < now);
         let numbers = &mut self.numbers;
         self.batches.retain(|_, batch| {
@@ -651,6 +657,10 @@
     fn still_running(&mut self, row: &Running, now: Uptime) -> bool {
         let key = self.tasks.get(&row.task).copied();
         let Some((key, run)) = key.and_then(|k| Some((k, self.runs.get_mut(k)?))) else {
+            // an answer that was overtaken by the one with the end
+            if self.over.get(&row.task).is_some_and(|(run, _)| *run >= row.run) {
+                return true;
+            }
             self.stop_stray(row);
             return false;
         };
@@ -708,6 +718,7 @@
             return;
         }
         self.acked = row.number;
+        self.over.insert(row.task.clone(), (row.run, now));
         let Some(key) = self.tasks.get(&row.task).copied() else { return };
         let Some(run) = self.runs.get(key) else { return };
         if run.number != row.run || !run.is_active() {
@@ -787,6 +798,7 @@
         }
         backend.born = born;
         self.acked = 0;
+        self.over.clear();
         self.clean = false;
         self.leased = now;
         let active: Vec<RunKey> = self.active().collect();
--- a/crates/lease/tests/book.rs
+++ b/crates/lease/tests/book.rs
@@ -204,6 +204,18 @@
         s.list(&[]);
         assert!(s.book.space(now).ready);
     };
+    a_listing_that_was_overtaken_names_no_stray_run: |mut s| {
+        s.place(1, 1, 300);
+        let first = s.starts();
+        s.all_start(&first);
+        s.at(50);
+        s.end(1, &first[0], StopCause::Done);
+        // answered before the end was, and read after it
+        s.list_running(&first[0], 90);
+        assert!(s.stops().is_empty());
+        let now = s.now;
+        assert!(s.book.space(now).ready);
+    };
     a_silent_backend_server_gets_nothing: |mut s| {
         let now = s.now;
         s.book.unlisted(now);
