--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -11,9 +11,6 @@
 
 use crate::{Agents, Desk, DeskSettings, EntryRpc, Meeting, Metrics, Status};
 
-/// A fresh entry is ready without any agent after this, so that callers get
-/// an honest refusal.
-const WARM: Duration = Duration::from_secs(3);
 const POLL: Duration = Duration::from_millis(50);
 
 /// All parts of an entry that callers' requests need; they live in one thread.
@@ -72,16 +69,15 @@
     }
 
     async fn keep_status(self: Rc<Self>, peers: Arc<Peers>) {
-        let start = uptime();
         let mut stopping = false;
         let mut closed = false;
         loop {
             for entry in peers.addresses() {
                 self.meeting.learn(entry);
             }
-            let warm = uptime().saturating_sub(start) > WARM;
+            // without agents it could only refuse what other entries may serve
             let served = self.agents.any_ready(self.chain.session);
-            self.status.set_ready(self.fleet.version() > 0 && (served || warm));
+            self.status.set_ready(self.fleet.version() > 0 && served);
             if let Some(end) = self.status.end() {
                 if !stopping {
                     stopping = true;
