--- a/crates/entry/src/fleet/registrar.rs
+++ b/crates/entry/src/fleet/registrar.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Name, now_ms};
+use base::{Event, Name, now_ms};
 use conf::{EntryRow, Life};
 use plat::{Error, Result, Table, Version};
 use tokio::time::sleep;
@@ -43,16 +43,28 @@
     }
 
     pub async fn run(mut self) {
+        let mut up = true;
         loop {
-            if self.written.is_none_or(|at| at.elapsed() >= REFRESH) && self.write().await.is_ok() {
-                self.written = Some(Instant::now());
+            let done = self.refresh().await;
+            match (&done, up) {
+                (Ok(()), false) => Event::PlatformBack.log(format_args!("rows of entries read")),
+                // what was known stays meanwhile
+                (Err(e), true) => Event::PlatformDown.log(format_args!("rows of entries: {e}")),
+                _ => {}
             }
-            // what was known stays when the platform can't be reached
-            let _ = self.list().await;
+            up = done.is_ok();
             sleep(LIST).await;
         }
     }
 
+    async fn refresh(&mut self) -> Result<()> {
+        if self.written.is_none_or(|at| at.elapsed() >= REFRESH) {
+            self.write().await?;
+            self.written = Some(Instant::now());
+        }
+        self.list().await
+    }
+
     async fn write(&mut self) -> Result<()> {
         if self.written.is_none() {
             self.take_over().await?;
