Reading the change: one thing a file, one copy of link metrics, tasks apart over all batches

desk.rs is split (desk, run, cancel); what daemons count of links stands once, in daemon::LinkMetrics; unused queries of agents are gone; settings without a platform are checked without one. Two faults found in reading: the bound on tasks of a job on one agent held only within one placing, and the factor for work far from its data was a constant though the settings know it. Both follow the job and the settings now (Seat::most, far_factor). A registrar that can't write still reads.

--- a/crates/conf/src/leased.rs
+++ b/crates/conf/src/leased.rs
@@ -7,13 +7,14 @@
 
 use crate::{
     Check, Fault,
-    settings::{at_least, common, fault},
+    settings::{at_least, common, fault, identity},
 };
 
 /// Longest time that a program may take to stop, where no setting says otherwise.
 const GRACE_S: f64 = 6.0;
 const LEAST_GRACE_S: f64 = 0.5;
 const MAX_GRACE_S: f64 = 3600.0;
+const MAX_FAR: f64 = 100.0;
 const MAX_MS: f64 = 3_600_000.0;
 
 /// Bounds of the lease chain, as the platform gives them.
@@ -72,6 +73,8 @@
     pub body_bytes: usize,
     /// longest time from the stop signal to the end, seconds
     pub grace_s: f64,
+    /// run time far from a job's data over that near it
+    pub far_factor: f64,
     pub lease: LeaseSettings,
 }
 
@@ -90,6 +93,7 @@
             token: Token::default(),
             body_bytes: 1 << 20,
             grace_s: GRACE_S,
+            far_factor: 1.5,
             lease: LeaseSettings::default(),
         }
     }
@@ -110,6 +114,10 @@
     fn faults(&self) -> Vec<Fault> {
         let mut faults = common(&self.name, &self.platform, &self.token);
         at_least("body_bytes", self.body_bytes as u64, 1024, &mut faults);
+        if !(1.0..=MAX_FAR).contains(&self.far_factor) {
+            let why = format!("is {}, must be from 1 to {MAX_FAR}", self.far_factor);
+            faults.push(fault("far_factor", &why));
+        }
         faults.extend(grace_fault(self.grace_s));
         faults.extend(self.lease.faults());
         faults
@@ -172,8 +180,7 @@
     }
 
     fn faults(&self) -> Vec<Fault> {
-        // an agent makes no call to the platform
-        let mut faults = common(&self.name, "http://", &self.token);
+        let mut faults = identity(&self.name, &self.token);
         if self.service.is_empty() {
             faults.push(fault("service", "is missing: name the service of the backend server"));
         }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -263,13 +263,18 @@
 }
 
 pub(crate) fn common(name: &str, platform: &str, token: &Token) -> Vec<Fault> {
+    let mut faults = identity(name, token);
+    if !platform.starts_with("http://") {
+        faults.push(fault("platform", "must be a URL that starts with http://"));
+    }
+    faults
+}
+
+pub(crate) fn identity(name: &str, token: &Token) -> Vec<Fault> {
     let mut faults = Vec::new();
     if let Some(why) = check_name(name) {
         faults.push(fault("name", why));
     }
-    if !platform.starts_with("http://") {
-        faults.push(fault("platform", "must be a URL that starts with http://"));
-    }
     if token.is_empty() {
         faults.push(fault("token", "is missing: every process of the fleet shares one"));
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,12 +2,14 @@
 //! logs, ports, and the signal to stop.
 
 mod args;
+mod link_metrics;
 mod listen;
 mod reload;
 mod run;
 mod signal;
 
 pub use args::Args;
+pub use link_metrics::LinkMetrics;
 pub use listen::{listen, listen_http};
 pub use reload::follow_settings;
 pub use run::{run, run_from};
--- /dev/null
+++ b/crates/daemon/src/link_metrics.rs
@@ -0,0 +1,46 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use base::dropped_lines;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use wire::{Method, Traffic};
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByMethod {
+    method: &'static str,
+}
+
+/// What every daemon counts of its links and its log.
+#[derive(Default)]
+pub struct LinkMetrics {
+    calls: Family<ByMethod, Counter>,
+    sent: Counter,
+    received: Counter,
+    dropped: Gauge<u64, AtomicU64>,
+}
+
+impl LinkMetrics {
+    pub fn register(registry: &mut Registry) -> Self {
+        let it = Self::default();
+        registry.register("calls", "Calls to other processes", it.calls.clone());
+        registry.register("link_sent_bytes", "Bytes sent over links", it.sent.clone());
+        registry.register("link_received_bytes", "Bytes received over links", it.received.clone());
+        registry.register("dropped_log_lines", "Log lines over the rate", it.dropped.clone());
+        it
+    }
+
+    /// Takes over what was counted since the start of the process.
+    pub fn refresh(&self) {
+        for method in Method::ALL {
+            let calls = self.calls.get_or_create(&ByMethod { method: method.as_str() });
+            calls.inner().store(method.count(), Ordering::Relaxed);
+        }
+        let traffic = Traffic::now();
+        self.sent.inner().store(traffic.sent, Ordering::Relaxed);
+        self.received.inner().store(traffic.received, Ordering::Relaxed);
+        self.dropped.set(dropped_lines());
+    }
+}
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -13,16 +13,6 @@
     pub backlog: Rc<Backlog>,
 }
 
-/// How an agent stands, for operators.
-#[derive(Clone, Debug)]
-pub struct Seen {
-    pub name: Name,
-    pub service: Name,
-    pub incarnation: u64,
-    pub silent: Uptime,
-    pub ready: bool,
-}
-
 impl Agents {
     /// Notes a greeting; `worker` is set in the first one of a link.
     pub fn heard(&self, hello: &Hello, worker: Option<worker::Client>) {
@@ -69,16 +59,4 @@
     pub fn any_ready(&self, silence: Uptime) -> bool {
         self.known.borrow().values().any(|a| a.space().ready && a.silent() <= silence)
     }
-
-    pub fn all(&self) -> Vec<Seen> {
-        let known = self.known.borrow();
-        let seen = known.values().map(|a| Seen {
-            name: a.name.clone(),
-            service: a.service.clone(),
-            incarnation: a.incarnation,
-            silent: a.silent(),
-            ready: a.space().ready,
-        });
-        seen.collect()
-    }
 }
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -1,39 +1,20 @@
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::HashMap,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use base::{Event, Name, Uptime, uptime};
+use base::{Name, Uptime, uptime};
 use futures::{
-    FutureExt, StreamExt,
+    FutureExt,
     future::{LocalBoxFuture, Shared, WeakShared},
-    stream::FuturesUnordered,
 };
-use lease::{Batch, Chain, Ending, Placement, Progress, Settled};
-use place::{Aim, Ask, Objective, ObjectiveSettings, Placer, PlacerSettings, Seat, Spread};
-use tokio::{sync::Notify, time::sleep};
+use lease::Chain;
+use place::{ObjectiveSettings, Placer, PlacerSettings};
 
-use crate::{
-    Agents, Job, JobAnswer, Metrics,
-    agent::Agent,
-    backlog::{Rank, Ticket},
-    call::Caller,
-    part::{News, Part},
-};
-
-/// A fresh entry lets jobs wait for its first agents until this age.
-const WARM: Duration = Duration::from_millis(1500);
-/// Shortest sleep between two looks at a job.
-const LEAST_LIMIT: Duration = Duration::from_millis(5);
-/// Kept of the caller's time for the answer to travel.
-const ANSWER_TIME: Duration = Duration::from_millis(30);
-/// Run time over its estimate that a job which waits should have room for.
-const RUN_MARGIN: f64 = 2.0;
-/// Run time over that in the usual place, for tasks far from their data.
-const FAR: f64 = 1.5;
+use crate::{Agents, Job, JobAnswer, Metrics, call::Caller, cancel::Cancel, run::Run};
 
 /// Settings of a desk.
 #[derive(Clone, Debug)]
@@ -43,6 +24,8 @@
     pub incarnation: u64,
     pub objective: ObjectiveSettings,
     pub placer: PlacerSettings,
+    /// run time far from a job's data over that near it
+    pub far_factor: f64,
 }
 
 type Answering = Shared<LocalBoxFuture<'static, JobAnswer>>;
@@ -84,15 +67,15 @@
         })
     }
 
-    pub fn agents(&self) -> &Rc<Agents> {
+    pub(crate) fn agents(&self) -> &Agents {
         &self.caller.agents
     }
 
-    pub fn metrics(&self) -> &Metrics {
+    pub(crate) fn metrics(&self) -> &Metrics {
         &self.metrics
     }
 
-    pub fn chain(&self) -> Chain {
+    pub(crate) fn chain(&self) -> Chain {
         self.settings.chain
     }
 
@@ -164,455 +147,42 @@
         answer
     }
 
-    fn next_batch(&self) -> u64 {
-        self.batches.set(self.batches.get() + 1);
-        self.batches.get()
-    }
-}
-
-/// Word that a job is to be given up, and why.
-#[derive(Default)]
-struct Cancel {
-    why: Cell<Option<&'static str>>,
-    told: Notify,
-}
-
-impl Cancel {
-    fn give(&self, why: &'static str) {
-        self.why.set(Some(why));
-        self.told.notify_waiters();
-    }
-
-    fn why(&self) -> Option<&'static str> {
-        self.why.get()
-    }
-
-    async fn given(&self) {
-        let told = self.told.notified();
-        if self.why().is_none() {
-            told.await;
-        }
-    }
-}
-
-/// One task of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Task {
-    /// waits for a place; its next run gets this number
-    Open(u32),
-    Placed,
-    Done,
-}
-
-/// One job on its way.
-struct Run {
-    desk: Rc<Desk>,
-    job: Job,
-    objective: Objective,
-    arrived: Uptime,
-    tasks: Vec<Task>,
-    /// runs of each task that failed
-    failures: Vec<u32>,
-    /// agents that didn't serve this job well
-    avoided: Vec<Name>,
-    /// batches not settled yet
-    placed: Vec<(Rc<Agent>, u64)>,
-    started: Rc<Cell<bool>>,
-    cancel: Rc<Cancel>,
-    /// set while tasks wait for room
-    ticket: Option<Ticket>,
-    answered: bool,
-}
-
-async fn turn(ticket: Option<&Ticket>) {
-    match ticket {
-        Some(ticket) => ticket.turn().await,
-        None => std::future::pending().await,
-    }
-}
-
-impl Run {
-    fn new(desk: Rc<Desk>, job: Job, started: Rc<Cell<bool>>, cancel: Rc<Cancel>) -> Self {
-        let target = Duration::from_millis(job.rules.target_ms);
-        let objective =
-            Objective::new(&desk.settings.objective, job.estimate, job.rules.stretch, target);
-        let count = job.count as usize;
-        Self {
-            desk,
-            objective,
-            arrived: uptime(),
-            tasks: vec![Task::Open(1); count],
-            failures: vec![0; count],
-            avoided: Vec::new(),
-            placed: Vec::new(),
-            started,
-            cancel,
-            ticket: None,
-            answered: false,
-            job,
-        }
-    }
-
-    async fn answer(mut self) -> JobAnswer {
-        let answer = self.run().await;
-        self.answered = true;
-        let took = self.age();
-        let event = match answer {
-            JobAnswer::Refused { .. } => Event::JobRefused,
-            _ => Event::JobAnswered,
-        };
-        event.note(&[
-            ("job", (&*self.job.id).into()),
-            ("queue", (&*self.job.queue).into()),
-            ("answer", answer.as_str().into()),
-            ("why", answer.why().into()),
-            ("took_ms", (took.as_millis() as u64).into()),
-            ("objective_ms", (self.objective.target.as_millis() as u64).into()),
-        ]);
-        self.desk.metrics.answered(&self.job.queue, answer.as_str(), took);
-        answer
-    }
-
-    async fn run(&mut self) -> JobAnswer {
-        let mut waiting: FuturesUnordered<LocalBoxFuture<'static, (Part, News)>> =
-            FuturesUnordered::new();
-        loop {
-            if let Some(why) = self.cancel.why() {
-                return self.give_up(why);
-            }
-            let Some(left) = self.left() else { return self.out_of_time() };
-            let useful = self.useful().min(left);
-            if useful < self.job.estimate && self.is_untouched() {
-                return self.refuse();
-            }
-            let unplaced = self.place(&mut waiting);
-            if unplaced == 0 {
-                self.ticket = None;
-            } else if self.is_untouched() && !self.may_wait(useful) {
-                return self.refuse();
-            } else if waiting.is_empty() && left < self.job.estimate {
-                return self.give_up("the rest can't end in time");
-            } else {
-                self.queue_up();
-            }
-            let limit = if unplaced > 0 { useful.saturating_sub(self.job.estimate) } else { left };
-            let limit = limit.max(LEAST_LIMIT);
-            let ticket = self.ticket.as_ref();
-            let cancel = self.cancel.clone();
-            let next = async {
-                tokio::select! {
-                    Some(next) = waiting.next() => Some(next),
-                    () = cancel.given() => None,
-                    () = turn(ticket) => None,
-                    () = sleep(limit) => None,
-                }
-            };
-            let Some((part, news)) = next.await else { continue };
-            if let Some(answer) = self.take(part, news, &mut waiting) {
-                return answer;
-            }
-            if self.tasks.iter().all(|t| *t == Task::Done) {
-                return JobAnswer::Completed;
-            }
-        }
+    pub(crate) fn caller(&self) -> Caller {
+        self.caller.clone()
     }
 
-    /// Finds places for the tasks that have none; gives how many are left.
-    fn place(
-        &mut self,
-        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
-    ) -> usize {
-        let mut open: Vec<Placement> = (0..)
-            .zip(&self.tasks)
-            .filter_map(|(index, task)| match task {
-                Task::Open(run) => Some(Placement { index, run: *run }),
-                _ => None,
-            })
-            .collect();
-        if open.is_empty() {
-            return 0;
-        }
-        let (agents, seats) = self.seats();
-        let ask = self.ask(open.len());
-        let Some(spread) = self.spread(&seats, &ask) else { return ask.count };
-        let left = self.left().unwrap_or_default();
-        for part in &spread.parts {
-            let agent = agents[part.seat].clone();
-            let tasks: Vec<Placement> = open.drain(..part.tasks).collect();
-            self.send(agent, tasks, part.wait, left, waiting);
-        }
-        Event::JobPlaced.note(&[
-            ("job", (&*self.job.id).into()),
-            ("queue", (&*self.job.queue).into()),
-            ("tasks", (ask.count as u64).into()),
-            ("agents", (spread.parts.len() as u64).into()),
-            ("unplaced", (spread.left as u64).into()),
-            ("age_ms", (self.age().as_millis() as u64).into()),
-            ("estimate_ms", (self.job.estimate.as_millis() as u64).into()),
-        ]);
-        spread.left
+    pub(crate) fn placer(&self) -> RefMut<'_, Placer> {
+        self.placer.borrow_mut()
     }
 
-    /// Places for the tasks; `None` when it is better to wait.
-    fn spread(&self, seats: &[Seat], ask: &Ask) -> Option<Spread> {
-        let mut placer = self.desk.placer.borrow_mut();
-        let spread = placer.spread(seats, ask, Aim::InTime);
-        // a job is worth little in part
-        if spread.left == 0 {
-            return Some(spread);
-        }
-        // what could still end in time doesn't wait behind what can't
-        let waits = !self.desk.caller.agents.backlog.is_empty();
-        let is_first = self.ticket.is_some() || !self.is_untouched() || !waits;
-        let spread = is_first.then(|| placer.spread(seats, ask, Aim::AnyRoom))?;
-        (!spread.parts.is_empty()).then_some(spread)
+    pub(crate) fn objective(&self) -> &ObjectiveSettings {
+        &self.settings.objective
     }
 
-    /// Waits for room beside the others that can't end in time.
-    fn queue_up(&mut self) {
-        let rank = if self.is_untouched() { Rank::Untouched } else { Rank::Started };
-        if self.ticket.as_ref().is_some_and(|t| t.rank() == rank) {
-            return;
-        }
-        self.ticket = Some(self.desk.caller.agents.backlog.enter(rank));
+    pub(crate) fn far_factor(&self) -> f64 {
+        self.settings.far_factor
     }
 
-    /// Whether there is a fair chance of room while an answer is of use.
-    fn may_wait(&self, left: Duration) -> bool {
-        if self.ticket.is_some() {
-            return true;
-        }
-        let young = uptime().saturating_sub(self.desk.born) < WARM;
-        let served = self.plain_seats().iter().any(|s| s.space.ready);
-        let longest = self.desk.caller.agents.backlog.longest();
-        (served || young) && longest + self.job.estimate.mul_f64(RUN_MARGIN) < left
+    /// Time since this entry started.
+    pub(crate) fn age(&self) -> Duration {
+        uptime().saturating_sub(self.born)
     }
 
-    fn send(
-        &mut self,
-        agent: Rc<Agent>,
-        tasks: Vec<Placement>,
-        wait: Duration,
-        left: Duration,
-        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
-    ) {
-        for task in &tasks {
-            self.tasks[task.index as usize] = Task::Placed;
-        }
-        agent.sent_tasks(self.job.size, tasks.len() as u32);
-        let number = self.desk.next_batch();
-        self.placed.push((agent.clone(), number));
-        let batch = Batch {
-            number,
-            job: self.job.id.clone(),
-            spec: self.job.spec.clone(),
-            size: self.job.size,
-            estimate: self.job.estimate,
-            wait,
-            left,
-            tasks,
-        };
-        waiting.push(self.wait_for(Part::new(agent, batch), false));
+    /// When this entry stops, once that is known.
+    pub(crate) fn end(&self) -> Option<Uptime> {
+        self.end.get()
     }
 
-    fn wait_for(&self, part: Part, placed: bool) -> LocalBoxFuture<'static, (Part, News)> {
-        let caller = self.desk.caller.clone();
-        async move {
-            let news = caller.news(&part, placed).await;
-            (part, news)
+    /// Forgets a job that is over, unless it is in progress anew.
+    pub(crate) fn forget(&self, id: &str, started: &Rc<Cell<bool>>) {
+        let mut jobs = self.jobs.borrow_mut();
+        if jobs.get(id).is_some_and(|j| Rc::ptr_eq(&j.started, started)) {
+            jobs.remove(id);
         }
-        .boxed_local()
     }
 
-    /// Takes news of a part; gives the answer if they decide the job.
-    fn take(
-        &mut self,
-        mut part: Part,
-        news: News,
-        waiting: &mut FuturesUnordered<LocalBoxFuture<'static, (Part, News)>>,
-    ) -> Option<JobAnswer> {
-        let progress = match news {
-            News::Progress(progress) => progress,
-            News::Unknown => self.all_of(&part, Ending::NotRun, "the agent never got it"),
-            News::Lost => {
-                self.started.set(true);
-                self.all_of(&part, Ending::Lost, "agent out of reach")
-            }
-        };
-        if progress.started {
-            self.started.set(true);
-        }
-        if progress.space.capacity != lease::Size::default() {
-            part.agent.reported(progress.space);
-            self.desk.caller.agents.backlog.room();
-        }
-        for settled in &progress.settled {
-            if self.settle(settled, &part.agent.name) {
-                return Some(JobAnswer::Failed);
-            }
-        }
-        part.settle(&progress.settled);
-        if part.open.is_empty() {
-            self.placed.retain(|(_, number)| *number != part.batch.number);
-        } else {
-            waiting.push(self.wait_for(part, true));
-        }
-        None
-    }
-
-    fn all_of(&self, part: &Part, ending: Ending, why: &str) -> Progress {
-        let settled = part.open.iter().map(|(index, run)| Settled {
-            index: *index,
-            run: *run,
-            ending,
-            reason: why.into(),
-            ran: Duration::ZERO,
-        });
-        Progress { settled: settled.collect(), ..Progress::default() }
-    }
-
-    /// Notes the end of a task; true when the job has failed by it.
-    fn settle(&mut self, it: &Settled, agent: &Name) -> bool {
-        let Some(task) = self.tasks.get_mut(it.index as usize) else { return false };
-        let ending = match it.ending {
-            Ending::Done => {
-                *task = Task::Done;
-                self.desk.metrics.ended("done");
-                return false;
-            }
-            Ending::Failed => "failed",
-            Ending::Lost => "lost",
-            Ending::NotRun => "not-run",
-        };
-        *task = Task::Open(it.run.saturating_add(1));
-        self.desk.metrics.ended(ending);
-        Event::TasksBack.note(&[
-            ("job", (&*self.job.id).into()),
-            ("index", it.index.into()),
-            ("run", it.run.into()),
-            ("agent", (&**agent).into()),
-            ("ending", ending.into()),
-            ("why", (&*it.reason).into()),
-        ]);
-        if !self.avoided.contains(agent) {
-            self.avoided.push(agent.clone());
-        }
-        if it.ending == Ending::Failed {
-            let failures = &mut self.failures[it.index as usize];
-            *failures += 1;
-            return *failures >= self.job.rules.attempts;
-        }
-        false
-    }
-
-    /// Agents that may run this job, as the placer sees them.
-    fn seats(&mut self) -> (Vec<Rc<Agent>>, Vec<Seat>) {
-        let silence = self.desk.settings.chain.session;
-        let service = &self.job.rules.service;
-        let mut agents = self.desk.caller.agents.of_service(service, silence);
-        if !self.job.label.is_empty() {
-            agents.retain(|a| a.labels.borrow().contains(&self.job.label));
-        }
-        let is_avoided = |a: &Rc<Agent>| self.avoided.contains(&a.name);
-        if agents.iter().all(|a| is_avoided(a) || !a.space().ready) {
-            self.avoided.clear();
-        }
-        let seats = agents.iter().map(|a| Seat {
-            space: a.space(),
-            unreported: a.unreported(),
-            excluded: self.avoided.contains(&a.name),
-            distance: self.distance(a),
-        });
-        let seats = seats.collect();
-        (agents, seats)
-    }
-
-    fn distance(&self, agent: &Agent) -> f64 {
-        let near = self.job.rack.is_empty() || agent.labels.borrow().contains(&self.job.rack);
-        if near { 1.0 } else { FAR }
-    }
-
-    fn ask(&self, count: usize) -> Ask {
-        let apart = self.job.apart as usize;
-        Ask {
-            size: self.job.size,
-            count,
-            estimate: self.job.estimate,
-            objective: self.objective,
-            age: self.age(),
-            per_agent: if apart == 0 { usize::MAX } else { apart },
-        }
-    }
-
-    /// Nothing of it has run, and nothing is on its way.
-    fn is_untouched(&self) -> bool {
-        !self.started.get() && self.placed.is_empty()
-    }
-
-    fn refuse(&self) -> JobAnswer {
-        let seats = self.plain_seats();
-        let refusal = self.desk.placer.borrow_mut().refuse(&seats, &self.ask(self.tasks.len()));
-        let why = if seats.iter().any(|s| s.space.ready) {
-            "no room in time"
-        } else {
-            "no backend server takes work"
-        };
-        JobAnswer::Refused { why: why.into(), retry_after: refusal.retry_after }
-    }
-
-    fn plain_seats(&self) -> Vec<Seat> {
-        let silence = self.desk.settings.chain.session;
-        let agents = self.desk.caller.agents.of_service(&self.job.rules.service, silence);
-        agents.iter().map(|a| Seat { space: a.space(), ..Seat::default() }).collect()
-    }
-
-    fn out_of_time(&self) -> JobAnswer {
-        self.give_up("the caller's time is up")
-    }
-
-    /// The answer to a job that is not waited for any longer.
-    fn give_up(&self, why: &str) -> JobAnswer {
-        if self.is_untouched() {
-            return self.refuse();
-        }
-        JobAnswer::GivenUp { why: why.into() }
-    }
-
-    fn age(&self) -> Duration {
-        uptime().saturating_sub(self.arrived)
-    }
-
-    /// Time left until an answer is of no use.
-    fn useful(&self) -> Duration {
-        self.objective.useless.saturating_sub(self.age())
-    }
-
-    /// Time left for work, nothing when it is up.
-    fn left(&self) -> Option<Duration> {
-        let end = self.arrived + self.job.left.saturating_sub(ANSWER_TIME);
-        let end = self.desk.end.get().map_or(end, |stop| end.min(stop));
-        end.checked_sub(uptime()).filter(|left| !left.is_zero())
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        let mut jobs = self.desk.jobs.borrow_mut();
-        if jobs.get(&self.job.id).is_some_and(|j| Rc::ptr_eq(&j.started, &self.started)) {
-            jobs.remove(&self.job.id);
-        }
-        drop(jobs);
-        if !self.answered {
-            Event::CallerLeft.note(&[
-                ("job", (&*self.job.id).into()),
-                ("queue", (&*self.job.queue).into()),
-                ("age_ms", (self.age().as_millis() as u64).into()),
-            ]);
-            self.desk.metrics.answered(&self.job.queue, "caller-left", self.age());
-        }
-        for (agent, number) in self.placed.drain(..) {
-            let caller = self.desk.caller.clone();
-            actix::spawn(async move { caller.stop(agent, number).await });
-        }
+    pub(crate) fn next_batch(&self) -> u64 {
+        self.batches.set(self.batches.get() + 1);
+        self.batches.get()
     }
 }
--- a/crates/dispatch/src/front.rs
+++ b/crates/dispatch/src/front.rs
@@ -47,6 +47,7 @@
             incarnation,
             objective: ObjectiveSettings::default(),
             placer: PlacerSettings::default(),
+            far_factor: settings.far_factor,
         };
         let desk = Desk::new(desk_settings, agents.clone(), metrics);
         let rpc = EntryRpc::new(agents.clone(), fleet.clone(), meeting.clone());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod agents;
 mod backlog;
 mod call;
+mod cancel;
 mod desk;
 mod front;
 mod job;
@@ -16,6 +17,7 @@
 mod metrics;
 mod part;
 mod rpc;
+mod run;
 mod status;
 
 pub use agents::Agents;
--- a/crates/entry/src/fleet/registrar.rs
+++ b/crates/entry/src/fleet/registrar.rs
@@ -58,11 +58,15 @@
     }
 
     async fn refresh(&mut self) -> Result<()> {
+        let mut written = Ok(());
         if self.written.is_none_or(|at| at.elapsed() >= REFRESH) {
-            self.write().await?;
-            self.written = Some(Instant::now());
+            written = self.write().await;
+            if written.is_ok() {
+                self.written = Some(Instant::now());
+            }
         }
-        self.list().await
+        // a store that takes no writes may still be read
+        self.list().await.and(written)
     }
 
     async fn write(&mut self) -> Result<()> {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -38,8 +38,6 @@
     pub objective: Objective,
     /// time since the job arrived
     pub age: Duration,
-    /// most tasks on one agent
-    pub per_agent: usize,
 }
 
 /// Where the tasks go.
@@ -150,7 +148,11 @@
                     run,
                     noise: run.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
                     // a suspect backend server is only tried
-                    most: if seat.space.suspect { 1 } else { ask.per_agent },
+                    most: seat.most.unwrap_or(usize::MAX).min(if seat.space.suspect {
+                        1
+                    } else {
+                        usize::MAX
+                    }),
                     taken: 0,
                 }
             })
--- a/crates/place/src/seat.rs
+++ b/crates/place/src/seat.rs
@@ -10,4 +10,6 @@
     pub excluded: bool,
     /// run time there against elsewhere, for tasks whose data is far away
     pub distance: f64,
+    /// tasks of this job that it may still get; `None` for any number
+    pub most: Option<usize>,
 }
--- a/crates/place/tests/crest.rs
+++ b/crates/place/tests/crest.rs
@@ -304,7 +304,6 @@
             estimate: job.estimate,
             objective: job.objective,
             age,
-            per_agent: usize::MAX,
         };
         let entry = job.entry;
         let spread = self.placers[entry].spread(&self.seats[entry], &ask, aim);
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -58,10 +58,8 @@
         assert!(spread(&[seat], 1, Aim::AnyRoom).is_empty());
     };
     tasks_that_must_be_apart_are: || {
-        let seats = [idle(0.8), idle(0.9), idle(1.0)];
-        let ask = Ask { per_agent: 1, ..ask(3) };
-        let parts = placer().spread(&seats, &ask, Aim::InTime).parts;
-        assert_eq!(parts.iter().map(|p| p.tasks).collect::<Vec<_>>(), [1, 1, 1]);
+        let seats = [0.8, 0.9, 1.0].map(|slowness| Seat { most: Some(1), ..idle(slowness) });
+        assert_eq!(spread(&seats, 3, Aim::InTime), [(0, 1), (1, 1), (2, 1)]);
     };
     far_from_the_data_is_slower: || {
         let far = Seat { distance: 1.5, ..idle(1.0) };
@@ -123,7 +121,6 @@
         estimate: Duration::from_millis(100),
         objective: objective(),
         age: Duration::ZERO,
-        per_agent: usize::MAX,
     }
 }
 
