--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,10 +1,13 @@
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use base::{Event, Name, Uptime};
 use wire::{Hello, egret_capnp::worker};
 
 use crate::{agent::Agent, backlog::Backlog};
 
+/// An agent that has not greeted for so long is forgotten; its machine is gone.
+const FORGET: Duration = Duration::from_secs(60);
+
 /// The agents that greet this entry. Nothing else lists them.
 #[derive(Default)]
 pub struct Agents {
@@ -33,7 +36,9 @@
                     ("ready", hello.space.ready.into()),
                 ]);
                 let agent = Rc::new(Agent::new(hello, worker));
-                self.known.borrow_mut().insert(hello.name.clone(), agent);
+                let mut known = self.known.borrow_mut();
+                known.retain(|_, a| a.silent() < FORGET);
+                known.insert(hello.name.clone(), agent);
                 if let Some(before) = before {
                     before.changed.notify_waiters();
                 }
