--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -2,7 +2,10 @@
 
 use std::path::Path;
 
-use conf::{AgentSettings, Check, EntrySettings, Error, load};
+use conf::{
+    AgentSettings, Check, DispatchSettings, EntrySettings, Error, LeaseSettings, RunnerSettings,
+    load,
+};
 
 macro_rules! example_loads {
     ($($name:ident: $settings:ty = $file:literal)*) => {
@@ -17,6 +20,8 @@
 example_loads! {
     entry_example_loads: EntrySettings = "entry.json"
     agent_example_loads: AgentSettings = "agent.json"
+    platform_entry_example_loads: DispatchSettings = "platform-entry.json"
+    platform_agent_example_loads: RunnerSettings = "platform-agent.json"
 }
 
 #[test]
@@ -26,6 +31,23 @@
     assert_eq!(fields, ["token", "service", "entries", "slots", "beat_ms"]);
 }
 
+#[test]
+fn every_fault_of_the_programs_with_leases_is_told() {
+    let lease = LeaseSettings { resend_ms: -1.0, ..LeaseSettings::default() };
+    let settings = DispatchSettings {
+        body_bytes: 1,
+        far_factor: 0.5,
+        grace_s: 0.0,
+        lease: lease.clone(),
+        ..DispatchSettings::default()
+    };
+    let fields: Vec<_> = settings.faults().into_iter().map(|f| f.field).collect();
+    assert_eq!(fields, ["token", "body_bytes", "far_factor", "grace_s", "lease.resend_ms"]);
+    let settings = RunnerSettings { grace_s: f64::NAN, lease, ..RunnerSettings::default() };
+    let fields: Vec<_> = settings.faults().into_iter().map(|f| f.field).collect();
+    assert_eq!(fields, ["token", "service", "grace_s", "lease.resend_ms"]);
+}
+
 #[test]
 fn unreadable_fields_are_told_together_with_the_rest() {
     let path = std::env::temp_dir().join(format!("egret-settings-{}.json", std::process::id()));
