Reading the change: one place that tells when the platform goes and comes back, one page of metrics

The dispatcher's and the runner's pages of metrics share daemon::metrics_page. A method of one line is gone.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod args;
 mod link_metrics;
 mod listen;
+mod page;
 mod reload;
 mod run;
 mod signal;
@@ -11,6 +12,7 @@
 pub use args::Args;
 pub use link_metrics::LinkMetrics;
 pub use listen::{listen, listen_http};
+pub use page::metrics_page;
 pub use reload::follow_settings;
 pub use run::{run, run_from};
 pub use signal::stop_signal;
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use base::Name;
-use daemon::LinkMetrics;
+use daemon::{LinkMetrics, metrics_page};
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
+    encoding::EncodeLabelSet,
     metrics::{
         counter::Counter,
         family::Family,
@@ -73,10 +73,6 @@
     /// The page that Prometheus reads.
     pub fn page(&self) -> String {
         self.links.refresh();
-        let mut page = String::new();
-        if let Err(e) = encode(&mut page, &self.registry) {
-            return format!("# metrics can't be written: {e}\n");
-        }
-        page
+        metrics_page(&self.registry)
     }
 }
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -107,7 +107,7 @@
             if let Some(why) = self.cancel.why() {
                 return self.give_up(why);
             }
-            let Some(left) = self.left() else { return self.out_of_time() };
+            let Some(left) = self.left() else { return self.give_up("the caller's time is up") };
             let useful = self.useful().min(left);
             if useful < self.job.estimate && self.is_untouched() {
                 return self.refuse();
@@ -391,10 +391,6 @@
         agents.iter().map(|a| Seat { space: a.space(), ..Seat::default() }).collect()
     }
 
-    fn out_of_time(&self) -> JobAnswer {
-        self.give_up("the caller's time is up")
-    }
-
     /// The answer to a job that is not waited for any longer.
     fn give_up(&self, why: &str) -> JobAnswer {
         if self.is_untouched() {
--- a/crates/entry/src/fleet/registrar.rs
+++ b/crates/entry/src/fleet/registrar.rs
@@ -5,9 +5,9 @@
     time::{Duration, Instant},
 };
 
-use base::{Event, Name, now_ms};
+use base::{Name, now_ms};
 use conf::{EntryRow, Life};
-use plat::{Error, Result, Table, Version};
+use plat::{Error, Reach, Result, Table, Version};
 use tokio::time::sleep;
 
 use super::Peers;
@@ -43,16 +43,10 @@
     }
 
     pub async fn run(mut self) {
-        let mut up = true;
+        let mut reach = Reach::new("rows of entries");
         loop {
-            let done = self.refresh().await;
-            match (&done, up) {
-                (Ok(()), false) => Event::PlatformBack.log(format_args!("rows of entries read")),
-                // what was known stays meanwhile
-                (Err(e), true) => Event::PlatformDown.log(format_args!("rows of entries: {e}")),
-                _ => {}
-            }
-            up = done.is_ok();
+            // what was known stays while they are out of reach
+            reach.note(&self.refresh().await);
             sleep(LIST).await;
         }
     }
--- a/crates/entry/src/fleet/watcher.rs
+++ b/crates/entry/src/fleet/watcher.rs
@@ -1,8 +1,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::Event;
 use conf::Fleet;
-use plat::Table;
+use plat::{Reach, Table};
 use tokio::time::sleep;
 
 use super::Current;
@@ -20,15 +19,10 @@
     }
 
     pub async fn run(self) {
-        let mut up = true;
+        let mut reach = Reach::new("fleet configuration");
         loop {
             let read = self.table.get(Fleet::ROW).await;
-            match (&read, up) {
-                (Ok(_), false) => Event::PlatformBack.log(format_args!("fleet configuration read")),
-                (Err(e), true) => Event::PlatformDown.log(format_args!("{e}")),
-                _ => {}
-            }
-            up = read.is_ok();
+            reach.note(&read);
             if let Ok(row) = read {
                 self.current.offer(row.version, &row.value);
             }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,12 +4,14 @@
 //! the row again.
 
 mod http;
+mod reach;
 mod settle;
 
 use futures::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
 
 pub use http::HttpPlatform;
+pub use reach::Reach;
 pub use settle::{Write, settle};
 
 /// What can go wrong between this process and the platform.
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use std::sync::atomic::AtomicU64;
 
-use daemon::LinkMetrics;
-use prometheus_client::{encoding::text::encode, metrics::gauge::Gauge, registry::Registry};
+use daemon::{LinkMetrics, metrics_page};
+use prometheus_client::{metrics::gauge::Gauge, registry::Registry};
 
 /// Gauges and counters of one agent; shared by its threads.
 pub struct Metrics {
@@ -31,10 +31,6 @@
     /// The page that Prometheus reads.
     pub fn page(&self) -> String {
         self.links.refresh();
-        let mut page = String::new();
-        if let Err(e) = encode(&mut page, &self.registry) {
-            return format!("# metrics can't be written: {e}\n");
-        }
-        page
+        metrics_page(&self.registry)
     }
 }
