--- a/crates/daemon/src/link_metrics.rs
+++ b/crates/daemon/src/link_metrics.rs
@@ -19,6 +19,7 @@
     calls: Family<MethodLabels, Counter>,
     sent: Counter,
     received: Counter,
+    writes: Counter,
     dropped: Gauge<u64, AtomicU64>,
 }
 
@@ -28,6 +29,11 @@
         registry.register("calls", "Calls to other processes", it.calls.clone());
         registry.register("link_sent_bytes", "Bytes sent over links", it.sent.clone());
         registry.register("link_received_bytes", "Bytes received over links", it.received.clone());
+        registry.register(
+            "link_writes",
+            "System calls that sent bytes over links",
+            it.writes.clone(),
+        );
         registry.register("dropped_log_lines", "Log lines over the rate", it.dropped.clone());
         it
     }
@@ -41,6 +47,7 @@
         let traffic = Traffic::totals();
         self.sent.inner().store(traffic.sent, Ordering::Relaxed);
         self.received.inner().store(traffic.received, Ordering::Relaxed);
+        self.writes.inner().store(traffic.writes, Ordering::Relaxed);
         self.dropped.set(dropped_lines());
     }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,9 +3,10 @@
 use base::{Event, Token};
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::io::{BufReader, BufWriter};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
     task::JoinHandle,
     time::{sleep, timeout},
 };
@@ -25,27 +26,52 @@
 const MAX_CONNECTIONS: usize = 8192;
 /// In words of 8 bytes.
 const MAX_MESSAGE_WORDS: usize = 2 << 20;
+/// Bytes read or written by one system call. A message consists of several
+/// parts, each of which would be a call of its own. A thin entry has about 100 links.
+const BUFFER_BYTES: usize = 4096;
 
 /// Open connection to another process of the fleet.
 pub struct Link {
     gate: gate::Client,
-    down: Rc<Cell<bool>>,
+    state: Rc<LinkState>,
     address: SocketAddr,
     agent: Option<agent::Client>,
     entry: Option<entry::Client>,
     task: JoinHandle<()>,
 }
 
+/// Whether a connection has ended.
+#[derive(Default)]
+struct LinkState {
+    is_down: Cell<bool>,
+    ended: Notify,
+}
+
+impl LinkState {
+    fn set_down(&self) {
+        self.is_down.set(true);
+        self.ended.notify_waiters();
+    }
+}
+
 impl Link {
     /// Closes the connection without waiting for the peer; calls in progress fail.
     pub fn close(&self) {
         self.task.abort();
-        self.down.set(true);
+        self.state.set_down();
     }
 
     /// Whether the connection has ended.
     pub fn is_down(&self) -> bool {
-        self.down.get()
+        self.state.is_down.get()
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn wait_down(&self) {
+        let ended = self.state.ended.notified();
+        if !self.is_down() {
+            ended.await;
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -138,15 +164,15 @@
     let stream =
         TcpStream::connect(address).await.map_err(|e| classify_connect_error(address, &e))?;
     let connection = start_rpc(stream, Side::Client, None);
-    let Connection { gate, down, task } = connection;
-    let mut link = Link { gate, down, address, agent: None, entry: None, task };
+    let Connection { gate, state, task } = connection;
+    let mut link = Link { gate, state, address, agent: None, entry: None, task };
     link.open(token).await?;
     Ok(link)
 }
 
 struct Connection {
     gate: gate::Client,
-    down: Rc<Cell<bool>>,
+    state: Rc<LinkState>,
     task: JoinHandle<()>,
 }
 
@@ -157,22 +183,22 @@
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
     let network = VatNetwork::new(
-        CountedRead(read.compat()),
-        CountedWrite::new(write.compat_write()),
+        BufReader::with_capacity(BUFFER_BYTES, CountedRead(read.compat())),
+        BufWriter::with_capacity(BUFFER_BYTES, CountedWrite::new(write.compat_write())),
         side,
         options,
     );
     let mut system = RpcSystem::new(Box::new(network), gate.map(|g| g.client));
     let gate = system.bootstrap(Side::Server);
-    let down = Rc::new(Cell::new(false));
-    let flag = down.clone();
+    let state = Rc::<LinkState>::default();
+    let connection = state.clone();
     let task = actix::spawn(async move {
         if let Err(e) = system.await {
             log::debug!("link ended: {e}");
         }
-        flag.set(true);
+        connection.set_down();
     });
-    Connection { gate, down, task }
+    Connection { gate, state, task }
 }
 
 fn classify_connect_error(address: SocketAddr, error: &std::io::Error) -> Error {
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -10,6 +10,7 @@
 static RECEIVED: AtomicU64 = AtomicU64::new(0);
 static SENT: AtomicU64 = AtomicU64::new(0);
 static MESSAGES: AtomicU64 = AtomicU64::new(0);
+static WRITES: AtomicU64 = AtomicU64::new(0);
 
 /// Traffic of all links since the process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,6 +21,8 @@
     pub sent: u64,
     /// messages sent
     pub messages: u64,
+    /// system calls that sent bytes
+    pub writes: u64,
 }
 
 impl Traffic {
@@ -28,6 +31,7 @@
             received: RECEIVED.load(Ordering::Relaxed),
             sent: SENT.load(Ordering::Relaxed),
             messages: MESSAGES.load(Ordering::Relaxed),
+            writes: WRITES.load(Ordering::Relaxed),
         }
     }
 }
@@ -122,6 +126,7 @@
         let done = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = &done {
             MESSAGES.fetch_add(self.counter.feed(&buf[..*n]), Ordering::Relaxed);
+            WRITES.fetch_add(1, Ordering::Relaxed);
         }
         count(&SENT, done)
     }
