runner: heartbeats when they are due, without polling

Cause: each session of an agent looked every 34 ms whether a heartbeat was due: 29 wake-ups a second for each of 15 sessions on the large site, twice as much work as the heartbeats themselves. A session without work was extended as often as one that runs depend on, though only the report of the load matters there. Change: an agent sleeps until the heartbeat is due, its readiness changes or the link ends; without open work it only reports its load, every half session (272 ms). An entry gives no work to an agent without a report for 680 ms, or whose open work had no heartbeat for a session.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -30,6 +30,8 @@
     sent_at: Cell<Uptime>,
     /// latest time at which the agent may have learnt that this entry is alive
     last_contact: Cell<Uptime>,
+    /// its open work got no heartbeat in time; it gets no more until the next one
+    unreachable: Cell<bool>,
     load: Cell<AgentLoad>,
     /// version of the configuration in force there
     version: Cell<u64>,
@@ -59,6 +61,7 @@
             last_heartbeat: Cell::new(uptime()),
             sent_at: Cell::new(hello.sent_at),
             last_contact: Cell::new(uptime()),
+            unreachable: Cell::default(),
             load: Cell::new(hello.load),
             version: Cell::new(hello.config_version),
             unreported: Cell::default(),
@@ -75,6 +78,7 @@
         if hello.sent_at >= self.sent_at.get() {
             self.sent_at.set(hello.sent_at);
             self.last_heartbeat.set(uptime());
+            self.unreachable.set(false);
             *self.labels.borrow_mut() = hello.labels.as_slice().into();
             self.pinned.set(hello.pinned);
             self.version.set(hello.config_version);
@@ -132,6 +136,15 @@
         self.unreported.set(self.unreported.get().plus(resources.times(count)));
     }
 
+    /// Records that its open work got no heartbeat in time.
+    pub fn set_unreachable(&self) {
+        self.unreachable.set(true);
+    }
+
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable.get()
+    }
+
     /// Time since the newest heartbeat.
     pub fn since_heartbeat(&self) -> Uptime {
         uptime().saturating_sub(self.last_heartbeat.get())
--- a/crates/dispatch/src/agent_client.rs
+++ b/crates/dispatch/src/agent_client.rs
@@ -97,13 +97,13 @@
     async fn until_unreachable(&self, agent: &Rc<Agent>, number: u64) {
         loop {
             let changed = agent.changed.notified();
-            let silence = agent.since_heartbeat();
-            if agent.link().0 != number
-                || silence >= self.timings.session_ttl
-                || self.is_replaced(agent)
-            {
+            if agent.link().0 != number || self.is_replaced(agent) {
                 return;
             }
+            let silence = agent.since_heartbeat();
+            if silence >= self.timings.session_ttl {
+                return agent.set_unreachable();
+            }
             let _ = timeout(self.timings.session_ttl - silence, changed).await;
         }
     }
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -46,7 +46,8 @@
             token.clone(),
             fleet.clone(),
         );
-        let agents = Agents::new(settings.advertised_rpc(), settings.circle, timings.session_ttl);
+        let agents =
+            Agents::new(settings.advertised_rpc(), settings.circle, timings.report_timeout());
         let dispatcher_settings = DispatcherSettings {
             timings,
             session: SessionId::of(&name, incarnation),
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -57,11 +57,21 @@
 
     /// Resident memory.
     pub fn memory_bytes(&self) -> u64 {
+        self.status_number("VmRSS:") * 1024
+    }
+
+    /// Times that the main thread has waited for something.
+    pub fn wakeups(&self) -> u64 {
+        self.status_number("voluntary_ctxt_switches:")
+    }
+
+    fn status_number(&self, field: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).expect("process is there");
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("status has VmRSS");
-        let number = line.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok());
-        number.expect("VmRSS is a number") * 1024
+        let value = status.lines().find_map(|l| l.strip_prefix(field));
+        let value = value.unwrap_or_else(|| panic!("status has no {field}"));
+        let number = value.split_whitespace().next().and_then(|n| n.parse().ok());
+        number.unwrap_or_else(|| panic!("{field} is not a number"))
     }
 
     /// Kills it, as the loss of its VM would.
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -400,11 +400,16 @@
         mem::take(&mut self.effects)
     }
 
+    /// Whether new tasks are accepted.
+    pub fn is_ready(&self, now: Uptime) -> bool {
+        self.unready_reason().is_none() && self.is_trusted(now)
+    }
+
     /// Load and capacity for more tasks.
     pub fn load(&self, now: Uptime) -> AgentLoad {
         let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
         AgentLoad {
-            ready: self.unready_reason().is_none() && self.is_trusted(now),
+            ready: self.is_ready(now),
             capacity,
             free: self.free(),
             expected_wait: self.expected_wait(Uptime::MAX),
--- a/crates/lease/src/timings.rs
+++ b/crates/lease/src/timings.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use base::Uptime;
+
 use crate::{Error, Result};
 
 /// Time on our clock over time on the slowest clock of a backend server.
@@ -78,11 +80,38 @@
         ttl.mul_f64(MAX_CLOCK_RATIO)
     }
 
-    /// Time between extensions of a session; it survives three lost ones in a row.
+    /// Time between extensions of a session that work depends on; it survives
+    /// three lost ones in a row.
     pub fn heartbeat_interval(&self) -> Duration {
         self.session_ttl / 4
     }
 
+    /// Time between reports of an agent's load to an entry, which also show the
+    /// entry that the agent is alive.
+    pub fn report_interval(&self) -> Duration {
+        self.session_ttl / 2
+    }
+
+    /// Time without a report after which an agent gets no work; longer than two
+    /// intervals, as a single report may be delayed.
+    pub fn report_timeout(&self) -> Duration {
+        self.report_interval() * 5 / 2
+    }
+
+    /// When an agent sends its next heartbeat to an entry: with a report of its
+    /// load, or earlier to extend a session that open work depends on. Calls of
+    /// the entry extend the session too.
+    pub fn heartbeat_due(
+        &self,
+        last_report: Uptime,
+        last_seen: Option<Uptime>,
+        has_open_work: bool,
+    ) -> Uptime {
+        let report = last_report + self.report_interval();
+        let Some(last_seen) = last_seen.filter(|_| has_open_work) else { return report };
+        report.min(last_seen + self.heartbeat_interval())
+    }
+
     /// Longest time that the answer to a renewal may be delayed until a run
     /// ends; a lost answer and a retry fit into the lease.
     pub fn renewal_interval(&self) -> Duration {
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -375,6 +375,26 @@
     }
 }
 
+#[test]
+fn heartbeats_extend_sessions_in_time_and_report_the_load() {
+    let timings = LeaseTimings::new(&LeaseBounds::default()).expect("the bounds leave enough time");
+    let at = Duration::from_millis;
+    let (report, heartbeat) = (timings.report_interval(), timings.heartbeat_interval());
+    let due = |last_seen: Option<Duration>, has_work| {
+        timings.heartbeat_due(at(1000), last_seen, has_work)
+    };
+    // work that depends on the session needs it extended, unless a call has done so
+    assert_eq!(due(Some(at(1000)), true), at(1000) + heartbeat);
+    assert_eq!(due(Some(at(1060)), true), at(1060) + heartbeat);
+    // the load is reported although calls of the entry extend the session
+    assert_eq!(due(Some(at(1250)), true), at(1000) + report);
+    // without work only the load matters
+    assert_eq!(due(Some(at(1000)), false), at(1000) + report);
+    assert_eq!(due(None, false), at(1000) + report);
+    // one report may be lost before the session expires or the agent counts as gone
+    assert!(report * 2 <= timings.session_ttl && report * 2 < timings.report_timeout());
+}
+
 #[test]
 fn bounds_without_enough_time_are_an_error() {
     let bounds = LeaseBounds { resend_delay: Duration::from_millis(400), ..LeaseBounds::default() };
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -51,6 +51,10 @@
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
+    /// whether this agent accepted work after the last change of state
+    was_ready: Cell<bool>,
+    /// notified when it starts or ceases to accept work
+    pub(crate) ready_changed: Notify,
 }
 
 impl Driver {
@@ -72,6 +76,8 @@
             announcement: RefCell::new(None),
             listing_requested: Cell::new(false),
             answer_timeout: Cell::default(),
+            was_ready: Cell::default(),
+            ready_changed: Notify::new(),
         })
     }
 
@@ -118,6 +124,11 @@
         self.scheduler.borrow().load(uptime())
     }
 
+    /// Whether this agent accepts work.
+    pub fn is_ready(&self) -> bool {
+        self.scheduler.borrow().is_ready(uptime())
+    }
+
     /// Number of queued tasks and of runs on the backend server.
     pub fn counts(&self) -> (usize, usize) {
         self.scheduler.borrow().counts()
@@ -227,6 +238,10 @@
     }
 
     fn apply_effects(self: &Rc<Self>) {
+        let ready = self.is_ready();
+        if self.was_ready.replace(ready) != ready {
+            self.ready_changed.notify_waiters();
+        }
         let effects = self.scheduler.borrow_mut().take_effects();
         for effect in effects {
             match effect {
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -204,26 +204,34 @@
         peer.need.get()
     }
 
-    /// Waits until a heartbeat is due, by the age of the session, by a change of
-    /// readiness or for a load report; returns false if the link has ended.
+    /// Waits until a heartbeat is due or this agent's readiness has changed;
+    /// returns false if the link has ended.
     async fn wait_until_due(&self, peer: &EntryLink) -> bool {
-        let heartbeat = self.state.driver.timings().heartbeat_interval();
-        let step = heartbeat / 4;
-        let start = uptime();
+        let driver = &self.state.driver;
+        let last_report = uptime();
         loop {
-            sleep(step).await;
+            let ready_changed = driver.ready_changed.notified();
             if peer.link.is_down() {
                 return false;
             }
-            let ready = self.state.driver.load().ready;
-            let last_seen = peer.session.get().and_then(|s| self.state.driver.last_seen(s));
-            let age = uptime().saturating_sub(last_seen.unwrap_or_default());
-            // calls of the entry extend the session as well, but an idle entry
-            // learns this agent's load only from `join`
-            let load_due = uptime().saturating_sub(start) >= heartbeat * 2;
-            if ready != peer.sent_ready.get() || age >= heartbeat || load_due {
+            if driver.is_ready() != peer.sent_ready.get() {
+                return true;
+            }
+            let session = peer.session.get();
+            let due = driver.timings().heartbeat_due(
+                last_report,
+                session.and_then(|s| driver.last_seen(s)),
+                session.is_some_and(|s| driver.has_open_work(s)),
+            );
+            let left = due.saturating_sub(uptime());
+            if left.is_zero() {
                 return true;
             }
+            tokio::select! {
+                () = sleep(left) => {}
+                () = ready_changed => {}
+                () = peer.link.wait_down() => {}
+            }
         }
     }
 
