topology: with many entries each needs fewer agents

Cause: each entry kept 64 agents however many entries there are, so on the large site an agent had 15 sessions (55 x 64 / 240), and most of the control traffic was heartbeats of sessions that see a batch a second. Change: beyond 16 entries the number shrinks with their number, down to half; up to 16 nothing changes, so that small and grown fleets keep all their connections.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -32,6 +32,11 @@
         })
     }
 
+    /// Sets the number of entries in the fleet, this one included.
+    pub fn set_entries(&self, entries: usize) {
+        self.selector.borrow_mut().set_entries(entries);
+    }
+
     /// Handles a heartbeat; `worker` is set in the first one over a link. Gives
     /// whether the agent is surplus.
     pub fn on_heartbeat(&self, hello: &Hello, worker: Option<worker::Client>) -> bool {
@@ -126,6 +131,8 @@
     }
 
     fn is_usable(&self, agent: &Agent) -> bool {
-        agent.since_heartbeat() <= self.heartbeat_timeout && !agent.surplus.get()
+        agent.since_heartbeat() <= self.heartbeat_timeout
+            && !agent.is_unreachable()
+            && !agent.surplus.get()
     }
 }
--- a/crates/dispatch/src/rpc.rs
+++ b/crates/dispatch/src/rpc.rs
@@ -36,9 +36,9 @@
             self.fleet.offer(hello.config_version, document);
         }
         let worker = params.has_worker().then(|| params.get_worker()).transpose()?;
-        let surplus = self.agents.on_heartbeat(&hello, worker);
         let mut welcome = self.gossip.welcome(hello.highest_offered);
-        welcome.surplus = surplus;
+        self.agents.set_entries(welcome.entries.len());
+        welcome.surplus = self.agents.on_heartbeat(&hello, worker);
         welcome.entries_digest = digest(&welcome.entries);
         if hello.entries_digest == welcome.entries_digest {
             welcome.entries.clear();
--- a/crates/topology/src/selector.rs
+++ b/crates/topology/src/selector.rs
@@ -10,12 +10,19 @@
 const MAX_LABELS: usize = 64;
 /// Most agents that one job may require, as a multiple of `target_agents`.
 const MAX_WIDTH_FACTOR: usize = 8;
+/// Entries up to which each needs all of `target_agents`. With more of them the
+/// share of the work that an entry has shrinks, and so does the number it needs;
+/// otherwise agents would have ever more sessions.
+const FEW_ENTRIES: usize = 16;
+/// Part of `target_agents` that an entry needs in any fleet, one in so many:
+/// callers are spread unevenly, so an entry may have several times the mean work.
+const MIN_SHARE_DIVISOR: usize = 2;
 
 /// Settings of the selection of agents.
 #[derive(Clone, Copy, Debug)]
 pub struct SelectorSettings {
-    /// agents of a service that suffice for one entry: its share of the work
-    /// varies little compared with the capacity of so many
+    /// agents of a service that suffice for one of a few entries: its share of the
+    /// work varies little compared with the capacity of so many
     pub target_agents: usize,
 }
 
@@ -40,6 +47,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AgentSelector {
     settings: SelectorSettings,
+    /// entries of the fleet
+    entries: usize,
     /// labels required by jobs, and when last
     labels: BTreeMap<Name, Uptime>,
     /// most agents that one job required, and when
@@ -51,6 +60,11 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Sets the number of entries in the fleet.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
     /// Records that a job requires a label.
     pub fn require_label(&mut self, label: &Name, now: Uptime) {
         self.labels.retain(|_, at| is_fresh(*at, now));
@@ -83,12 +97,16 @@
         let is_required =
             |label: &&Name| self.labels.get(*label).is_some_and(|at| is_fresh(*at, now));
         let count_with = |label: &Name| ahead.iter().filter(|o| o.labels.contains(label)).count();
-        ahead.len() >= self.settings.target_agents.max(self.width(now))
-            && candidate
-                .labels
-                .iter()
-                .filter(is_required)
-                .all(|l| count_with(l) >= self.settings.target_agents)
+        let needed = self.needed_agents();
+        ahead.len() >= needed.max(self.width(now))
+            && candidate.labels.iter().filter(is_required).all(|l| count_with(l) >= needed)
+    }
+
+    /// Agents that suffice for one of so many entries.
+    fn needed_agents(&self) -> usize {
+        let target = self.settings.target_agents;
+        let share = target * FEW_ENTRIES / self.entries.max(1);
+        share.clamp(target.div_ceil(MIN_SHARE_DIVISOR), target)
     }
 
     /// Most agents that a recent job must be spread over.
