runner: an idle backend server is listed every half lease

Cause: 240 agents with nothing running listed their backend servers 9 times a second, to renew a lease on which no run depended: after the heartbeats the most frequent call of an idle fleet. Change: while no run is active a listing may wait for half a lease (272 ms). A start gives a lease of its own, which lasts until that listing returns; after a lost answer listings are short, as before.

--- a/crates/lease/src/timings.rs
+++ b/crates/lease/src/timings.rs
@@ -117,4 +117,10 @@
     pub fn renewal_interval(&self) -> Duration {
         self.lease_ttl / 5
     }
+
+    /// The same while no run is active. A start gives a lease of its own, which
+    /// lasts until the listing returns and renews it.
+    pub fn idle_renewal_interval(&self) -> Duration {
+        self.lease_ttl / 2
+    }
 }
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -369,6 +369,7 @@
             );
             assert!(
                 timings.renewal_interval() * 3 < timings.lease_ttl
+                    && timings.idle_renewal_interval() * 2 <= timings.lease_ttl
                     && timings.heartbeat_interval() * 3 < timings.session_ttl
             );
         }
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -276,15 +276,23 @@
 
     async fn poll_listings(self: Rc<Self>) {
         loop {
-            let has_timeouts = self.answer_timeout.get().has_recent_timeout(uptime());
-            let wait =
-                if has_timeouts { SHORT_LISTING_WAIT } else { self.timings.renewal_interval() };
-            if !self.renew_lease(wait).await {
+            if !self.renew_lease(self.listing_wait()).await {
                 sleep(LISTING_RETRY_INTERVAL).await;
             }
         }
     }
 
+    /// How long a listing may wait for the end of a run.
+    fn listing_wait(&self) -> Duration {
+        if self.answer_timeout.get().has_recent_timeout(uptime()) {
+            return SHORT_LISTING_WAIT;
+        }
+        match self.scheduler.borrow().is_busy() {
+            true => self.timings.renewal_interval(),
+            false => self.timings.idle_renewal_interval(),
+        }
+    }
+
     /// Requests a listing at once, beside the one that waits for changes.
     fn request_listing(self: &Rc<Self>) {
         if self.listing_requested.replace(true) {
