topology: a visit a second

Cause: beyond 64 agents each agent opened two connections a second to entries that don't need it; on the large site 480 a second. A round of them takes 23 s there, so they replace no lost agent in time anyway: an entry keeps more agents than it needs for that. Change: one visit a second. Fleets in which all are connected make no visits.

--- a/crates/topology/src/schedule.rs
+++ b/crates/topology/src/schedule.rs
@@ -17,7 +17,7 @@
 
 impl Default for ScheduleSettings {
     fn default() -> Self {
-        Self { pinned: 8, interval: Duration::from_millis(500) }
+        Self { pinned: 8, interval: Duration::from_secs(1) }
     }
 }
 
