dispatch: one clock reading for a list of agents

Cause: each heartbeat and each placing read the clock once for every known agent. Change: the time is read once and passed on.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -147,7 +147,12 @@
 
     /// Time since the newest heartbeat.
     pub fn since_heartbeat(&self) -> Uptime {
-        uptime().saturating_sub(self.last_heartbeat.get())
+        self.silence_at(uptime())
+    }
+
+    /// Time from the newest heartbeat to `now`.
+    pub fn silence_at(&self, now: Uptime) -> Uptime {
+        now.saturating_sub(self.last_heartbeat.get())
     }
 
     /// A time on the agent's clock at which this entry is alive: the newest
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,6 +1,6 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{Event, Name, uptime};
+use base::{Event, Name, Uptime, uptime};
 use topology::{AgentSelector, SelectorSettings, rank};
 use wire::{Hello, egret_capnp::worker};
 
@@ -67,14 +67,14 @@
     }
 
     fn is_surplus(&self, agent: &Agent) -> bool {
-        let known = self.known.borrow();
+        let (known, now) = (self.known.borrow(), uptime());
         let others = known.values().filter(|o| {
             o.service == agent.service
                 && o.name != agent.name
-                && o.since_heartbeat() <= self.heartbeat_timeout
+                && o.silence_at(now) <= self.heartbeat_timeout
         });
         let selector = self.selector.borrow();
-        selector.is_surplus(&agent.candidate(), others.map(|o| o.candidate()), uptime())
+        selector.is_surplus(&agent.candidate(), others.map(|o| o.candidate()), now)
     }
 
     fn update(&self, hello: &Hello, worker: Option<worker::Client>) {
@@ -115,8 +115,8 @@
 
     /// Agents of a service with a recent heartbeat that aren't surplus.
     pub fn of_service(&self, service: &str) -> Vec<Rc<Agent>> {
-        let known = self.known.borrow();
-        let usable = known.values().filter(|a| &*a.service == service && self.is_usable(a));
+        let (known, now) = (self.known.borrow(), uptime());
+        let usable = known.values().filter(|a| &*a.service == service && self.is_usable(a, now));
         usable.cloned().collect()
     }
 
@@ -127,11 +127,12 @@
 
     /// Whether any agent accepts work.
     pub fn any_ready(&self) -> bool {
-        self.known.borrow().values().any(|a| a.load().ready && self.is_usable(a))
+        let now = uptime();
+        self.known.borrow().values().any(|a| a.load().ready && self.is_usable(a, now))
     }
 
-    fn is_usable(&self, agent: &Agent) -> bool {
-        agent.since_heartbeat() <= self.heartbeat_timeout
+    fn is_usable(&self, agent: &Agent, now: Uptime) -> bool {
+        agent.silence_at(now) <= self.heartbeat_timeout
             && !agent.is_unreachable()
             && !agent.surplus.get()
     }
