base: the log writes as many lines a second as it says

Cause: the limiter counted down before it looked, so 999 of 1,000 lines passed. Test: lines_up_to_the_rate_limit_are_written, seen failing (1 dropped of 1,000).

--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -115,8 +115,9 @@
         if self.second_start.elapsed() >= Duration::from_secs(1) {
             *self = Self::new();
         }
+        let is_allowed = self.remaining > 0;
         self.remaining = self.remaining.saturating_sub(1);
-        self.remaining > 0
+        is_allowed
     }
 }
 
