entry: rosters only rise, agents that are gone are forgotten, a refused last write is logged

Causes: revisions of a roster were compared under the read lock and not again under the write lock, so an older one could win; an agent was never forgotten, and stayed in /admin/agents, the metrics and the chooser's list; finish() of the counts ended without a line when the store refused the last write. Changes: one comparison under the write lock; an agent silent for 40 heartbeat timeouts is dropped when the next is added; the error is logged. Tests, each seen failing on the code before: an_older_roster_never_replaces_a_newer_one (revision 29316 after 29343), agents_that_are_gone_are_forgotten, a_refused_last_write_is_logged.

--- a/crates/entry/src/counts.rs
+++ b/crates/entry/src/counts.rs
@@ -78,14 +78,17 @@
     /// Writes all remaining counts, unless the store fails or takes too long.
     pub async fn finish(&self) {
         let all = async {
-            while let Ok(pending) = self.write(ProcessPhase::Stopping).await {
-                if pending.last {
-                    return;
-                }
-            }
+            while !self.write(ProcessPhase::Stopping).await?.last {}
+            platform_client::Result::Ok(())
         };
-        if tokio::time::timeout(FINAL_WRITE_TIMEOUT, all).await.is_err() {
-            Event::CountsUnwritable.log(format_args!("timed out while the process stopped"));
+        match tokio::time::timeout(FINAL_WRITE_TIMEOUT, all).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => {
+                Event::CountsUnwritable.log(format_args!("{e} while the process stopped"));
+            }
+            Err(_) => {
+                Event::CountsUnwritable.log(format_args!("timed out while the process stopped"));
+            }
         }
     }
 
--- a/crates/entry/src/fleet/agents.rs
+++ b/crates/entry/src/fleet/agents.rs
@@ -12,6 +12,10 @@
 
 use super::Agent;
 
+/// Heartbeat timeouts after which a silent agent is forgotten. Its VM is gone: one
+/// that returns is added as a new agent.
+const RETAINED_TIMEOUTS: u32 = 40;
+
 /// The agents that send heartbeats to this entry; no other list of them exists.
 pub struct Agents {
     heartbeat_timeout: Duration,
@@ -44,6 +48,8 @@
         }
         Event::AgentDiscovered.log(format_args!("{} at {}", info.name, info.address));
         let mut agents = self.by_name.write().unwrap_or_else(PoisonError::into_inner);
+        let retention = self.heartbeat_timeout * RETAINED_TIMEOUTS;
+        agents.retain(|_, agent| !agent.is_silent(retention));
         agents.insert(info.name.clone(), Arc::new(Agent::new(info)));
         self.generation.fetch_add(1, Ordering::Release);
     }
--- a/crates/entry/src/fleet/lost_agents.rs
+++ b/crates/entry/src/fleet/lost_agents.rs
@@ -11,7 +11,9 @@
 pub async fn log_lost_agents(agents: Arc<Agents>) {
     let mut logged: BTreeSet<Name> = BTreeSet::new();
     loop {
-        for last in agents.all() {
+        let known = agents.all();
+        logged.retain(|name| known.iter().any(|last| last.info.name == *name));
+        for last in known {
             let name = last.info.name;
             if last.at.elapsed() <= agents.heartbeat_timeout() {
                 logged.remove(&name);
--- a/crates/entry/src/fleet/rosters.rs
+++ b/crates/entry/src/fleet/rosters.rs
@@ -29,11 +29,10 @@
 
     /// Adopts a roster if it is newer than the one known.
     pub fn offer(&self, service: &Name, roster: Roster) {
-        if self.get(service).revision >= roster.revision {
-            return;
-        }
         let mut by_service = self.by_service.write().unwrap_or_else(PoisonError::into_inner);
-        by_service.insert(service.clone(), Arc::new(roster));
+        if by_service.get(service).is_none_or(|known| known.revision < roster.revision) {
+            by_service.insert(service.clone(), Arc::new(roster));
+        }
     }
 
     /// Reads the roster of every service from the table, once per poll interval.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,4 +10,5 @@
 mod rpc;
 
 pub use app::run;
-pub use fleet::{Endpoints, EntryList, Registrar};
+pub use counts::{CountWriter, SharedCounts};
+pub use fleet::{Agents, Endpoints, EntryList, Registrar, Rosters};
