dispatch: a job waits only for agents with its label

Cause: whether a job may wait, and when it is told to return, was decided from all agents of the service, also from those without the label that it requires: it was held for agents that could never take it. Change: both look at the agents that have the label. Test: a_job_with_a_label_that_no_executor_has_is_refused_at_once, seen failing (held for 562 ms, an objective long).

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -363,10 +363,7 @@
 
     /// Agents that may run this job, and their views for the placer.
     fn agent_views(&mut self) -> (Vec<Rc<Agent>>, Vec<AgentView>) {
-        let mut agents = self.dispatcher.agents().of_service(&self.job.queue_settings.service);
-        if !self.job.label.is_empty() {
-            agents.retain(|a| a.labels.borrow().contains(&self.job.label));
-        }
+        let agents = self.usable_agents();
         let is_avoided = |a: &Rc<Agent>| self.avoided.contains(&a.name);
         if agents.iter().all(|a| is_avoided(a) || !a.load().ready) {
             self.avoided.clear();
@@ -419,10 +416,19 @@
         JobAnswer::Refused { reason: reason.into(), retry_after: refusal.retry_after }
     }
 
-    /// Views of the agents that show only their load, without the label, rack and
-    /// limits of this job.
+    /// Agents that have the label of this job.
+    fn usable_agents(&self) -> Vec<Rc<Agent>> {
+        let mut agents = self.dispatcher.agents().of_service(&self.job.queue_settings.service);
+        if !self.job.label.is_empty() {
+            agents.retain(|a| a.labels.borrow().contains(&self.job.label));
+        }
+        agents
+    }
+
+    /// Views of the agents that show only their load, without the rack and limits of
+    /// this job.
     fn load_views(&self) -> Vec<AgentView> {
-        let agents = self.dispatcher.agents().of_service(&self.job.queue_settings.service);
+        let agents = self.usable_agents();
         agents.iter().map(|a| AgentView { load: a.load(), ..AgentView::default() }).collect()
     }
 
