ctl, metrics: which processes lag behind in configuration

Cause: with 295 processes the list of an entry's agents is too long to read, and an agent's metrics page didn't say which configuration it runs.

--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -125,7 +125,9 @@
                 queries::roster(fleet, &service, format).await
             }
             Subcommand::Agents { format } => queries::agents(entry, format).await,
-            Subcommand::Leased { format } => queries::leased(entry, format).await,
+            Subcommand::Leased { agent_filter, format } => {
+                queries::leased(entry, agent_filter, format).await
+            }
             Subcommand::Jobs { format } => queries::jobs(entry, format).await,
             Subcommand::Entries { format } => queries::entries(fleet, entry, format).await,
             Subcommand::Burn { html, format } => {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     commands::{Grant, Setting},
-    queries::{Format, format},
+    queries::{AgentFilter, Format, agent_filter, format},
 };
 
 /// Operate an egretshelf fleet
@@ -215,9 +215,11 @@
     /// List the leased agents known to an entry, with the configuration version at each
     ///
     /// `--entry` takes the metrics address of the entry.
-    /// Example: egretctl --entry http://127.0.0.1:7102 --token T leased
+    /// Example: egretctl --entry http://127.0.0.1:7102 --token T leased --behind
     #[bpaf(command("leased"))]
     Leased {
+        #[bpaf(external)]
+        agent_filter: AgentFilter,
         #[bpaf(external)]
         format: Format,
     },
--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -1,3 +1,4 @@
+use bpaf::{Parser, long};
 use serde::{Deserialize, Serialize};
 
 use super::format::{Format, Rows, yes_no};
@@ -94,9 +95,28 @@
     }
 }
 
+/// Which leased agents are listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgentFilter {
+    All,
+    /// those with an older configuration than the entry
+    Behind,
+}
+
+/// Parser of the `--behind` flag.
+pub fn agent_filter() -> impl Parser<AgentFilter> {
+    long("behind")
+        .help("only agents with an older configuration than the entry")
+        .flag(AgentFilter::Behind, AgentFilter::All)
+}
+
 /// Lists an entry and its leased agents, with the configuration version of each.
-pub async fn leased(entry: &Entry, format: Format) -> Result<()> {
-    format.print(&fetch_report(entry).await?)
+pub async fn leased(entry: &Entry, filter: AgentFilter, format: Format) -> Result<()> {
+    let mut report = fetch_report(entry).await?;
+    if filter == AgentFilter::Behind {
+        report.agents.retain(|a| a.version < report.version);
+    }
+    format.print(&report)
 }
 
 /// Lists the jobs in progress at an entry, oldest first.
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of an entry's jobs.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use base::Name;
 use daemon::{LinkMetrics, metrics_page};
@@ -9,6 +9,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -40,6 +41,8 @@
     jobs: Family<ByAnswer, Counter>,
     seconds: Family<ByQueue, Histogram>,
     endings: Family<ByEnding, Counter>,
+    /// version of the configuration in force; 0 before the first one
+    pub config_version: Gauge<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -54,8 +57,14 @@
         registry.register("job_seconds", "Time to the answer of a job", seconds.clone());
         let endings = Family::default();
         registry.register("task_endings", "Ends of placed tasks", endings.clone());
+        let config_version = Gauge::default();
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            config_version.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, jobs, seconds, endings, links }
+        Self { registry, jobs, seconds, endings, config_version, links }
     }
 }
 
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -90,6 +90,7 @@
         let mut is_stopping = false;
         let mut is_closed = false;
         loop {
+            self.dispatcher.metrics().config_version.set(self.fleet.version());
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -10,6 +10,8 @@
     pub waiting: Gauge<u64, AtomicU64>,
     /// runs on the backend server
     pub running: Gauge<u64, AtomicU64>,
+    /// version of the configuration in force; 0 before the first one
+    pub config_version: Gauge<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -20,8 +22,14 @@
         registry.register("tasks_waiting", "Tasks that wait for room", waiting.clone());
         let running = Gauge::default();
         registry.register("tasks_running", "Runs on the backend server", running.clone());
+        let config_version = Gauge::default();
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            config_version.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, waiting, running, links }
+        Self { registry, waiting, running, config_version, links }
     }
 }
 
