--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -59,7 +59,7 @@
         registry.register("task_endings", "Ends of placed tasks", endings.clone());
         let config_version = Gauge::default();
         registry.register(
-            "config_version",
+            "configuration_version",
             "Version of the configuration in force",
             config_version.clone(),
         );
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -24,7 +24,7 @@
         registry.register("tasks_running", "Runs on the backend server", running.clone());
         let config_version = Gauge::default();
         registry.register(
-            "config_version",
+            "configuration_version",
             "Version of the configuration in force",
             config_version.clone(),
         );
