topology: a circle without a limit doesn't overflow

Cause: the number of agents that an entry needs was the setting times 16; a setting near the largest number overflowed. Test: a_setting_without_a_limit_keeps_all_agents, seen failing (multiply with overflow).

--- a/crates/topology/src/selector.rs
+++ b/crates/topology/src/selector.rs
@@ -105,7 +105,7 @@
     /// Agents that suffice for one of so many entries.
     fn needed_agents(&self) -> usize {
         let target = self.settings.target_agents;
-        let share = target * FEW_ENTRIES / self.entries.max(1);
+        let share = target.saturating_mul(FEW_ENTRIES) / self.entries.max(1);
         share.clamp(target.div_ceil(MIN_SHARE_DIVISOR), target)
     }
 
--- a/crates/topology/tests/fleet.rs
+++ b/crates/topology/tests/fleet.rs
@@ -253,6 +253,14 @@
     assert!(selector.is_surplus(&candidate(99), (0..16).map(candidate), Duration::ZERO));
 }
 
+#[test]
+fn a_setting_without_a_limit_keeps_all_agents() {
+    let mut selector = AgentSelector::new(SelectorSettings { target_agents: usize::MAX });
+    selector.set_entries(55);
+    let candidate = |rank| Candidate { rank, labels: Rc::from([]), ready: true, pinned: false };
+    assert!(!selector.is_surplus(&candidate(999), (0..900).map(candidate), Duration::ZERO));
+}
+
 #[test]
 fn an_agent_is_not_surplus_at_a_pinned_entry() {
     let selector = AgentSelector::new(SelectorSettings { target_agents: 1 });
