lease, dispatch: log calls about unknown batches, and the age of a returned one

E0806 with 'the agent never got it' has two meanings, never received and forgotten, and neither log nor metrics tell them apart. E0818 at the agent names session and batch of the call, E0810 has the number of the batch, and E0806 has it with the time since it was sent.

No logic changes: cargo test -p base -p lease -p dispatch passes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -74,6 +74,7 @@
     SessionOpened = 815 Info "session of an entry opened"
     SessionExpired = 816 Warn "session of an entry expired; its runs are stopped"
     LeasesExpired = 817 Warn "leases of all runs expired with no listing from the backend server"
+    BatchUnknown = 818 Warn "an entry asked about a batch that is not known"
     BackendSuspect = 820 Warn "backend server suspect: the runs that it starts fail or stall"
     BackendTrusted = 821 Info "backend server no longer suspect"
     BackendUnresponsive = 822 Warn "backend server answers no listing request"
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -302,7 +302,7 @@
             self.dispatcher.agents().backlog.wake_first();
         }
         for result in &progress.results {
-            if self.record_result(result, &batch.agent.name) {
+            if self.record_result(result, &batch) {
                 return Some(JobAnswer::Failed);
             }
         }
@@ -328,7 +328,8 @@
     }
 
     /// Records the result of a task; returns whether the job has failed because of it.
-    fn record_result(&mut self, result: &TaskResult, agent: &Name) -> bool {
+    fn record_result(&mut self, result: &TaskResult, batch: &PlacedBatch) -> bool {
+        let agent = &batch.agent.name;
         let Some(task) = self.tasks.get_mut(result.index as usize) else { return false };
         let ending = match result.ending {
             Ending::Done => {
@@ -347,6 +348,8 @@
             ("index", result.index.into()),
             ("run", result.run.into()),
             ("agent", (&**agent).into()),
+            ("batch", batch.batch.number.into()),
+            ("sent_ms", (uptime().saturating_sub(batch.sent_at).as_millis() as u64).into()),
             ("ending", ending.into()),
             ("why", (&*result.reason).into()),
         ]);
--- a/crates/dispatch/src/placed_batch.rs
+++ b/crates/dispatch/src/placed_batch.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use base::{Uptime, uptime};
 use lease::{Batch, Progress, TaskResult};
 
 use crate::agent::Agent;
@@ -8,6 +9,7 @@
 pub struct PlacedBatch {
     pub agent: Rc<Agent>,
     pub batch: Batch,
+    pub sent_at: Uptime,
     /// number of results received so far
     pub seen: usize,
     /// index and lowest run number of the tasks without a result
@@ -26,7 +28,7 @@
 impl PlacedBatch {
     pub fn new(agent: Rc<Agent>, batch: Batch) -> Self {
         let pending = batch.tasks.iter().map(|t| (t.index, t.run)).collect();
-        Self { agent, batch, seen: 0, pending }
+        Self { agent, batch, sent_at: uptime(), seen: 0, pending }
     }
 
     /// Records reported results.
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -226,6 +226,7 @@
         Event::BatchQueued.note(&[
             ("job", (&*batch.job).into()),
             ("session", id.0.into()),
+            ("batch", batch.number.into()),
             ("queued", queued.into()),
             ("asked", (tasks.len() as u64).into()),
             ("wait_ms", millis(batch.max_wait).into()),
@@ -238,7 +239,11 @@
 
     /// Finds a batch by the number that its entry gave it.
     pub fn find(&self, id: SessionId, number: u64) -> Option<BatchKey> {
-        self.batch_by_number.get(&(id, number)).copied()
+        let key = self.batch_by_number.get(&(id, number)).copied();
+        if key.is_none() {
+            Event::BatchUnknown.note(&[("session", id.0.into()), ("batch", number.into())]);
+        }
+        key
     }
 
     /// Progress of a batch beyond the first `after` results; `None` for an
