lease, dispatch: a batch that an agent has forgotten counts as lost, not as never received

Cause: an agent forgets a batch 5 s after its last result. An entry that was cut off or suspended for longer asked about it afterwards, and was told only that it is unknown; it took that for 'never received', so all tasks were 'not-run', nothing had started, and the job was refused.

Change: the entry's question carries the time at which it sent the batch, as a lower bound on the agent's clock. Results are kept for 5 s, so an unknown batch that was sent less than 5 s ago was never received; any other unknown batch may have run, and the entry takes its tasks for lost, as when an agent is out of reach. A number reported as unknown is barred, so that the batch is rejected if its message is still under way. An entry or agent without this field gives no such proof: it counts as lost.

--- a/crates/dispatch/src/agent_client.rs
+++ b/crates/dispatch/src/agent_client.rs
@@ -3,9 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use base::uptime;
-use lease::{LeaseTimings, Progress, SessionId};
+use lease::{BatchStatus, LeaseTimings, SessionId};
 use tokio::time::timeout;
-use wire::{Method, egret_capnp::worker, read_progress, write_batch};
+use wire::{Method, egret_capnp::worker, read_batch_status, write_batch};
 
 use crate::{
     agent::Agent,
@@ -43,13 +43,14 @@
                 () = self.until_unreachable(&batch.agent, number) => None,
             };
             match reply {
-                Some(Some(progress)) => return BatchUpdate::Progress(progress),
-                Some(None) => return BatchUpdate::Unknown,
+                Some(BatchStatus::Progress(progress)) => return BatchUpdate::Progress(progress),
+                Some(BatchStatus::NeverReceived) => return BatchUpdate::NeverReceived,
+                Some(BatchStatus::Forgotten) => return BatchUpdate::Lost("agent has forgotten it"),
                 None => {}
             }
             placed = true;
             if !self.wait_until_reachable(&batch.agent, number).await {
-                return BatchUpdate::Lost;
+                return BatchUpdate::Lost("agent out of reach");
             }
         }
     }
@@ -64,33 +65,26 @@
         let _ = timeout(STOP_TIMEOUT, req.send().promise).await;
     }
 
-    async fn place(
-        &self,
-        worker: &worker::Client,
-        batch: &PlacedBatch,
-    ) -> Option<Option<Progress>> {
+    async fn place(&self, worker: &worker::Client, batch: &PlacedBatch) -> Option<BatchStatus> {
         let mut req = worker.place_request();
         Method::Place.record_call();
         req.get().set_session(self.session.0);
         req.get().set_heard_us(batch.agent.alive_at().as_micros() as u64);
         write_batch(req.get().init_batch(), &batch.batch);
         let res = req.send().promise.await.ok()?;
-        read_progress(res.get().ok()?.get_progress().ok()?).ok()
+        read_batch_status(res.get().ok()?.get_progress().ok()?).ok()
     }
 
-    async fn follow(
-        &self,
-        worker: &worker::Client,
-        batch: &PlacedBatch,
-    ) -> Option<Option<Progress>> {
+    async fn follow(&self, worker: &worker::Client, batch: &PlacedBatch) -> Option<BatchStatus> {
         let mut req = worker.follow_request();
         Method::Follow.record_call();
         req.get().set_session(self.session.0);
         req.get().set_number(batch.batch.number);
         req.get().set_after(batch.seen as u32);
+        req.get().set_sent_us(batch.sent_there.as_micros() as u64);
         req.get().set_heard_us(batch.agent.alive_at().as_micros() as u64);
         let res = req.send().promise.await.ok()?;
-        read_progress(res.get().ok()?.get_progress().ok()?).ok()
+        read_batch_status(res.get().ok()?.get_progress().ok()?).ok()
     }
 
     /// Waits until the link is replaced or the agent's heartbeats stop.
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -287,10 +287,12 @@
     ) -> Option<JobAnswer> {
         let progress = match update {
             BatchUpdate::Progress(progress) => progress,
-            BatchUpdate::Unknown => self.end_all(&batch, Ending::NotRun, "the agent never got it"),
-            BatchUpdate::Lost => {
+            BatchUpdate::NeverReceived => {
+                self.end_all(&batch, Ending::NotRun, "the agent never got it")
+            }
+            BatchUpdate::Lost(reason) => {
                 self.started.set(true);
-                self.end_all(&batch, Ending::Lost, "agent out of reach")
+                self.end_all(&batch, Ending::Lost, reason)
             }
         };
         if progress.started {
--- a/crates/dispatch/src/placed_batch.rs
+++ b/crates/dispatch/src/placed_batch.rs
@@ -10,6 +10,8 @@
     pub agent: Rc<Agent>,
     pub batch: Batch,
     pub sent_at: Uptime,
+    /// the same or an earlier time, on the agent's clock
+    pub sent_there: Uptime,
     /// number of results received so far
     pub seen: usize,
     /// index and lowest run number of the tasks without a result
@@ -19,16 +21,17 @@
 /// Outcome of a call about a batch.
 pub enum BatchUpdate {
     Progress(Progress),
-    /// the agent doesn't have the batch, and never will
-    Unknown,
-    /// the agent is unreachable, and its runs have ended
-    Lost,
+    /// the agent did not receive the batch, and would not accept it any more
+    NeverReceived,
+    /// its runs have ended, with unknown results; the reason
+    Lost(&'static str),
 }
 
 impl PlacedBatch {
     pub fn new(agent: Rc<Agent>, batch: Batch) -> Self {
         let pending = batch.tasks.iter().map(|t| (t.index, t.run)).collect();
-        Self { agent, batch, sent_at: uptime(), seen: 0, pending }
+        let sent_there = agent.alive_at();
+        Self { agent, batch, sent_at: uptime(), sent_there, seen: 0, pending }
     }
 
     /// Records reported results.
--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -70,6 +70,26 @@
     pub started: bool,
 }
 
+/// What an agent has of a batch that its entry asks about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchLookup {
+    Known(BatchKey),
+    /// it did not arrive, and would not be accepted any more
+    NeverReceived,
+    /// it may have run; nothing of it runs, or will
+    Forgotten,
+}
+
+/// Answer of an agent to a call about a batch.
+#[derive(Clone, Debug)]
+pub enum BatchStatus {
+    Progress(Progress),
+    /// as [`BatchLookup::NeverReceived`]
+    NeverReceived,
+    /// as [`BatchLookup::Forgotten`]
+    Forgotten,
+}
+
 /// A batch in the scheduler.
 #[derive(Clone, Debug)]
 pub(crate) struct BatchState {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -22,7 +22,9 @@
 mod timings;
 
 pub use adaptive_timeout::AdaptiveTimeout;
-pub use batch::{Batch, BatchKey, BatchTask, Ending, Progress, TaskResult};
+pub use batch::{
+    Batch, BatchKey, BatchLookup, BatchStatus, BatchTask, Ending, Progress, TaskResult,
+};
 pub use health::HealthSettings;
 pub use listing::{EndCause, Listing, RunEnd, RunProgress};
 pub use load::AgentLoad;
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -8,9 +8,9 @@
 use slotmap::SlotMap;
 
 use crate::{
-    AgentLoad, Batch, BatchTask, Effect, EndCause, Ending, HealthSettings, LeaseTimings, Listing,
-    Progress, RefusalReason, Resources, RunEnd, RunKey, RunProgress, SessionId, StartOrder,
-    StartOutcome, StopOrder, TaskRef, TaskResult,
+    AgentLoad, Batch, BatchLookup, BatchTask, Effect, EndCause, Ending, HealthSettings,
+    LeaseTimings, Listing, Progress, RefusalReason, Resources, RunEnd, RunKey, RunProgress,
+    SessionId, StartOrder, StartOutcome, StopOrder, TaskRef, TaskResult,
     batch::{BatchKey, BatchState},
     health::Health,
     run::{ProgressTracker, Run, State, StopReason, Stopping},
@@ -24,8 +24,8 @@
 const EXPIRY_MARGIN: Duration = Duration::from_millis(60);
 /// Pause of starts after the backend server rejected one for lack of capacity.
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// How long the results of an ended batch are kept for another request;
-/// must exceed the time after which an entry gives a lost link up.
+/// How long the results of an ended batch are kept. An unknown batch that was sent
+/// less than this ago was never received.
 const BATCH_RETENTION: Duration = Duration::from_secs(5);
 /// How long ended runs are remembered; must exceed the delay by which listings
 /// can arrive out of order.
@@ -59,6 +59,8 @@
     sessions: HashMap<SessionId, Session>,
     batches: SlotMap<BatchKey, BatchState>,
     batch_by_number: HashMap<(SessionId, u64), BatchKey>,
+    /// numbers that were reported as unknown, and when
+    barred: HashMap<(SessionId, u64), Uptime>,
     runs: SlotMap<RunKey, Run>,
     run_by_task: HashMap<TaskRef, RunKey>,
     /// queued runs by their start deadline
@@ -97,6 +99,7 @@
             sessions: HashMap::new(),
             batches: SlotMap::with_key(),
             batch_by_number: HashMap::new(),
+            barred: HashMap::new(),
             runs: SlotMap::with_key(),
             run_by_task: HashMap::new(),
             queue: BTreeSet::new(),
@@ -239,11 +242,31 @@
 
     /// Finds a batch by the number that its entry gave it.
     pub fn find(&self, id: SessionId, number: u64) -> Option<BatchKey> {
-        let key = self.batch_by_number.get(&(id, number)).copied();
-        if key.is_none() {
-            Event::BatchUnknown.note(&[("session", id.0.into()), ("batch", number.into())]);
+        self.batch_by_number.get(&(id, number)).copied()
+    }
+
+    /// Looks up a batch that was sent at `sent_at` or later, on this agent's clock. A
+    /// number that is not known is barred, so that its batch is rejected if it
+    /// arrives after all.
+    pub fn look_up(
+        &mut self,
+        id: SessionId,
+        number: u64,
+        sent_at: Uptime,
+        now: Uptime,
+    ) -> BatchLookup {
+        if let Some(key) = self.find(id, number) {
+            return BatchLookup::Known(key);
         }
-        key
+        self.barred.insert((id, number), now);
+        let is_forgotten = sent_at + BATCH_RETENTION < now;
+        Event::BatchUnknown.note(&[
+            ("session", id.0.into()),
+            ("batch", number.into()),
+            ("sent_ms", millis(now.saturating_sub(sent_at)).into()),
+            ("forgotten", is_forgotten.into()),
+        ]);
+        if is_forgotten { BatchLookup::Forgotten } else { BatchLookup::NeverReceived }
     }
 
     /// Progress of a batch beyond the first `after` results; `None` for an
@@ -610,6 +633,7 @@
 
     fn forget_ended(&mut self, now: Uptime) {
         self.ended_runs.retain(|_, (_, at)| *at + ENDED_RUN_RETENTION > now);
+        self.barred.retain(|_, at| *at + BATCH_RETENTION > now);
         let is_old = |b: &BatchState| b.ended_at.is_some_and(|at| at + BATCH_RETENTION < now);
         let batch_by_number = &mut self.batch_by_number;
         self.batches.retain(|_, batch| {
@@ -633,13 +657,16 @@
         if !self.sessions.contains_key(&id) {
             return Some("session lapsed");
         }
+        let batch = self.batches.get(key)?;
+        if self.barred.contains_key(&(id, batch.number)) {
+            return Some("the entry was told that it was not received");
+        }
         if let Some(reason) = self.unready_reason() {
             return Some(reason);
         }
         if !self.is_trusted(now) {
             return Some("backend server is suspect");
         }
-        let batch = self.batches.get(key)?;
         if self.run_by_task.contains_key(&TaskRef { job: batch.job.clone(), index: task.index }) {
             return Some("another run of the task is here");
         }
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -4,7 +4,7 @@
 
 use base::Uptime;
 use lease::{
-    Batch, BatchKey, BatchTask, Effect, EndCause, Ending, HealthSettings, LeaseBounds,
+    Batch, BatchKey, BatchLookup, BatchTask, Effect, EndCause, Ending, HealthSettings, LeaseBounds,
     LeaseTimings, Listing, RefusalReason, Resources, RunEnd, RunProgress, Scheduler,
     SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder, TaskRef,
 };
@@ -107,6 +107,51 @@
         let now = s.now;
         assert!(s.scheduler.progress(second, 0, now).is_none(), "the other one still runs");
     };
+    a_batch_that_ran_is_never_reported_as_never_received: |mut s| {
+        let sent_at = s.now;
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.advance_to(50);
+        s.end(1, &orders[0], EndCause::Done);
+        for ms in (100..20_000).step_by(100) {
+            s.advance_to(ms);
+            match s.look_up(1, sent_at) {
+                BatchLookup::Known(known) => assert_eq!(known, key),
+                BatchLookup::Forgotten => return,
+                BatchLookup::NeverReceived => panic!("received, and ran, at {ms} ms"),
+            }
+        }
+        panic!("kept for ever");
+    };
+    a_batch_that_was_just_sent_and_is_unknown_was_never_received: |mut s| {
+        let sent_at = s.now;
+        s.advance_to(1000);
+        assert_eq!(s.look_up(1, sent_at), BatchLookup::NeverReceived);
+    };
+    an_unknown_batch_that_was_sent_long_ago_may_have_run: |mut s| {
+        let sent_at = s.now;
+        s.advance_to(60_000);
+        assert_eq!(s.look_up(1, sent_at), BatchLookup::Forgotten);
+        // entries that don't say when they sent it
+        assert_eq!(s.look_up(2, Uptime::ZERO), BatchLookup::Forgotten);
+    };
+    a_batch_reported_as_never_received_does_not_start_when_it_arrives: |mut s| {
+        let sent_at = s.now;
+        assert_eq!(s.look_up(1, sent_at), BatchLookup::NeverReceived);
+        s.advance_to(20);
+        let key = s.place(1, 1, 300);
+        assert!(s.starts().is_empty());
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+    };
+    a_started_task_that_is_returned_still_counts_as_started: |mut s| {
+        let key = s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, StartOutcome::Rejected(RefusalReason::Busy));
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        let now = s.now;
+        assert!(s.scheduler.progress(key, 0, now).expect("it has ended").started);
+    };
     no_lease_without_a_session: |mut s| {
         s.disconnect();
         s.advance_to(600);
@@ -497,6 +542,10 @@
         }
     }
 
+    fn look_up(&mut self, number: u64, sent_at: Uptime) -> BatchLookup {
+        self.scheduler.look_up(ENTRY, number, sent_at, self.now)
+    }
+
     fn take_effects(&mut self) {
         self.effects.extend(self.scheduler.take_effects());
     }
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -6,8 +6,9 @@
 
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
-    AdaptiveTimeout, AgentLoad, Batch, BatchKey, Effect, HealthSettings, LeaseTimings, Progress,
-    RefusalReason, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
+    AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, Effect, HealthSettings,
+    LeaseTimings, Progress, RefusalReason, Scheduler, SchedulerSettings, SessionId, StartOrder,
+    StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
 use tokio::{
@@ -156,34 +157,38 @@
     }
 
     /// Queues a batch, and waits until there is progress to report.
-    pub async fn place(self: &Rc<Self>, session: SessionId, batch: Batch) -> Option<Progress> {
+    pub async fn place(self: &Rc<Self>, session: SessionId, batch: Batch) -> BatchStatus {
         let key = self.with_scheduler(|scheduler, now| scheduler.place(session, batch, now));
-        self.wait_progress(key, 0).await
+        self.wait_status(key, 0).await
     }
 
     /// Waits until there is more progress of a batch than the first `after` results.
+    /// The batch was sent at `sent_at` or later, on this agent's clock.
     pub async fn follow(
         self: &Rc<Self>,
         session: SessionId,
         number: u64,
         after: usize,
-    ) -> Option<Progress> {
-        let key = self.scheduler.borrow().find(session, number)?;
-        self.wait_progress(key, after).await
+        sent_at: Uptime,
+    ) -> BatchStatus {
+        let lookup = self.scheduler.borrow_mut().look_up(session, number, sent_at, uptime());
+        match lookup {
+            BatchLookup::Known(key) => self.wait_status(key, after).await,
+            BatchLookup::NeverReceived => BatchStatus::NeverReceived,
+            BatchLookup::Forgotten => BatchStatus::Forgotten,
+        }
     }
 
     /// Cancels a batch, and waits until nothing of it runs.
-    pub async fn cancel_batch(
-        self: &Rc<Self>,
-        session: SessionId,
-        number: u64,
-    ) -> Option<Progress> {
-        let key = self.scheduler.borrow().find(session, number)?;
+    pub async fn cancel_batch(self: &Rc<Self>, session: SessionId, number: u64) -> BatchStatus {
+        let Some(key) = self.scheduler.borrow().find(session, number) else {
+            return BatchStatus::Forgotten;
+        };
         self.with_scheduler(|scheduler, now| scheduler.cancel_batch(key, now));
         loop {
-            let progress = self.wait_progress(key, 0).await?;
-            if progress.pending == 0 {
-                return Some(progress);
+            let status = self.wait_status(key, 0).await;
+            if !matches!(&status, BatchStatus::Progress(p) if p.pending > 0) {
+                return status;
             }
             sleep(STOP_POLL_INTERVAL).await;
         }
@@ -215,6 +220,11 @@
         new.started_ms < known.started_ms
     }
 
+    async fn wait_status(self: &Rc<Self>, key: BatchKey, after: usize) -> BatchStatus {
+        let progress = self.wait_progress(key, after).await;
+        progress.map_or(BatchStatus::Forgotten, BatchStatus::Progress)
+    }
+
     async fn wait_progress(self: &Rc<Self>, key: BatchKey, after: usize) -> Option<Progress> {
         loop {
             let notifier = {
--- a/crates/runner/src/worker.rs
+++ b/crates/runner/src/worker.rs
@@ -7,7 +7,7 @@
     egret_capnp::worker::{
         FollowParams, FollowResults, PlaceParams, PlaceResults, Server, StopParams, StopResults,
     },
-    read_batch, write_progress,
+    read_batch, write_batch_status,
 };
 
 use crate::Driver;
@@ -45,8 +45,8 @@
         let params = params.get()?;
         let session = self.begin_call(params.get_session(), params.get_heard_us())?;
         let batch = read_batch(params.get_batch()?).map_err(|e| Error::failed(e.to_string()))?;
-        let progress = self.driver.place(session, batch).await;
-        write_progress(results.get().init_progress(), progress.as_ref());
+        let status = self.driver.place(session, batch).await;
+        write_batch_status(results.get().init_progress(), &status);
         Ok(())
     }
 
@@ -58,8 +58,9 @@
         let params = params.get()?;
         let session = self.begin_call(params.get_session(), params.get_heard_us())?;
         let (number, after) = (params.get_number(), params.get_after() as usize);
-        let progress = self.driver.follow(session, number, after).await;
-        write_progress(results.get().init_progress(), progress.as_ref());
+        let sent_at = Duration::from_micros(params.get_sent_us());
+        let status = self.driver.follow(session, number, after, sent_at).await;
+        write_batch_status(results.get().init_progress(), &status);
         Ok(())
     }
 
@@ -70,8 +71,8 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let session = SessionId(params.get_session());
-        let progress = self.driver.cancel_batch(session, params.get_number()).await;
-        write_progress(results.get().init_progress(), progress.as_ref());
+        let status = self.driver.cancel_batch(session, params.get_number()).await;
+        write_batch_status(results.get().init_progress(), &status);
         Ok(())
     }
 }
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -265,6 +265,7 @@
   space @2 :Space;
   known @3 :Bool;        # whether the agent has the batch
   started @4 :Bool;      # whether any of it may have started
+  never @5 :Bool;        # not known: it was never received, and will not be accepted
 }
 
 interface Worker {
@@ -273,7 +274,8 @@
   # session tells lives of entries apart, see lease::SessionId.
   place @0 (session :UInt64, batch :Batch, heardUs :UInt64) -> (progress :Progress);
   # What has settled of a batch after the first so many; the reply comes as for place.
-  follow @1 (session :UInt64, number :UInt64, after :UInt32, heardUs :UInt64) -> (progress :Progress);
+  # The batch was sent at sentUs or later, on the agent's clock.
+  follow @1 (session :UInt64, number :UInt64, after :UInt32, heardUs :UInt64, sentUs :UInt64) -> (progress :Progress);
   # Give a batch up; the reply comes when nothing of it runs.
   stop @2 (session :UInt64, number :UInt64) -> (progress :Progress);
 }
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -15140,6 +15140,10 @@
         pub fn get_started(self) -> bool {
             self.reader.get_bool_field(33)
         }
+        #[inline]
+        pub fn get_never(self) -> bool {
+            self.reader.get_bool_field(34)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -15250,6 +15254,14 @@
         pub fn set_started(&mut self, value: bool)  {
             self.builder.set_bool_field(33, value);
         }
+        #[inline]
+        pub fn get_never(self) -> bool {
+            self.builder.get_bool_field(34)
+        }
+        #[inline]
+        pub fn set_never(&mut self, value: bool)  {
+            self.builder.set_bool_field(34, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -15264,7 +15276,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(16, 180, 214, 164, 123, 237, 68, 200),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
@@ -15274,49 +15286,56 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 114, 111, 103),
             ::capnp::word(114, 101, 115, 115, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 33, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 116, 116, 108, 101, 100, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -15361,6 +15380,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 118, 101, 114, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15369,6 +15396,7 @@
                 2 => <crate::egret_capnp::space::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15382,9 +15410,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,1,0,2,4];
         pub(crate) const TYPE_ID: u64 = 0xc844_ed7b_a4d6_b410;
     }
 }
@@ -16056,11 +16084,15 @@
             pub fn get_heard_us(self) -> u64 {
                 self.reader.get_data_field::<u64>(3)
             }
+            #[inline]
+            pub fn get_sent_us(self) -> u64 {
+                self.reader.get_data_field::<u64>(4)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -16142,6 +16174,14 @@
             pub fn set_heard_us(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(3, value);
             }
+            #[inline]
+            pub fn get_sent_us(self) -> u64 {
+                self.builder.get_data_field::<u64>(4)
+            }
+            #[inline]
+            pub fn set_sent_us(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(4, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -16153,17 +16193,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(107, 248, 58, 173, 6, 238, 172, 197),
-                ::capnp::word(19, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
@@ -16171,35 +16211,42 @@
                 ::capnp::word(101, 114, 46, 102, 111, 108, 108, 111),
                 ::capnp::word(119, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -16232,6 +16279,14 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 110, 116, 85, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -16239,6 +16294,7 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -16252,9 +16308,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0];
             pub(crate) const TYPE_ID: u64 = 0xc5ac_ee06_ad3a_f86b;
         }
     }
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base::{Name, Uptime};
-use lease::{AgentLoad, Batch, BatchTask, Ending, Progress, Resources, TaskResult};
+use lease::{AgentLoad, Batch, BatchStatus, BatchTask, Ending, Progress, Resources, TaskResult};
 
 use crate::{
     Error, Result,
@@ -147,9 +147,12 @@
     })
 }
 
-/// Writes the progress of a batch; `None` if the agent doesn't know the batch.
-pub fn write_progress(mut to: progress::Builder<'_>, it: Option<&Progress>) {
-    let Some(it) = it else { return };
+pub fn write_batch_status(mut to: progress::Builder<'_>, it: &BatchStatus) {
+    let it = match it {
+        BatchStatus::Progress(progress) => progress,
+        BatchStatus::NeverReceived => return to.set_never(true),
+        BatchStatus::Forgotten => return,
+    };
     to.set_known(true);
     to.set_open(it.pending);
     to.set_started(it.started);
@@ -160,11 +163,14 @@
     }
 }
 
-pub fn read_progress(from: progress::Reader<'_>) -> Result<Option<Progress>> {
+pub fn read_batch_status(from: progress::Reader<'_>) -> Result<BatchStatus> {
+    if from.get_never() {
+        return Ok(BatchStatus::NeverReceived);
+    }
     if !from.get_known() {
-        return Ok(None);
+        return Ok(BatchStatus::Forgotten);
     }
-    Ok(Some(Progress {
+    Ok(BatchStatus::Progress(Progress {
         results: from.get_settled()?.iter().map(read_result).collect::<Result<_>>()?,
         pending: from.get_open(),
         load: read_agent_load(from.get_space()?)?,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -27,8 +27,8 @@
 pub use heartbeat::{read_heartbeat, read_roster, write_heartbeat};
 pub use info::{AgentInfo, ClassLoad, Load, read_info, read_load, write_info, write_load};
 pub use lease::{
-    Hello, Welcome, read_batch, read_hello, read_progress, read_welcome, write_batch, write_hello,
-    write_progress, write_welcome,
+    Hello, Welcome, read_batch, read_batch_status, read_hello, read_welcome, write_batch,
+    write_batch_status, write_hello, write_welcome,
 };
 pub use link::{Link, dial, dial_within, serve};
 pub use link_pool::LinkPool;
