lease: results are kept for as long as the caller waits

Change: a batch is kept until its caller's deadline and 5 s beyond, without its spec once it has ended; waits over a minute count as one. Within that time an unknown batch was never received. The question of an entry carries the batch's time left.

--- a/crates/dispatch/src/agent_client.rs
+++ b/crates/dispatch/src/agent_client.rs
@@ -82,6 +82,8 @@
         req.get().set_number(batch.batch.number);
         req.get().set_after(batch.seen as u32);
         req.get().set_sent_us(batch.sent_there.as_micros() as u64);
+        let left_ms = batch.batch.time_left.as_millis().try_into().unwrap_or(u32::MAX);
+        req.get().set_left_ms(left_ms);
         req.get().set_heard_us(batch.agent.alive_at().as_micros() as u64);
         let res = req.send().promise.await.ok()?;
         read_batch_status(res.get().ok()?.get_progress().ok()?).ok()
--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -102,6 +102,8 @@
     pub results: Vec<TaskResult>,
     pub pending: u32,
     pub started: bool,
+    /// not forgotten before then
+    pub kept_until: Uptime,
     /// when the last task ended
     pub ended_at: Option<Uptime>,
 }
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     mem,
+    sync::Arc,
     time::Duration,
 };
 
@@ -24,9 +25,11 @@
 const EXPIRY_MARGIN: Duration = Duration::from_millis(60);
 /// Pause of starts after the backend server rejected one for lack of capacity.
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(20);
-/// How long the results of an ended batch are kept. An unknown batch that was sent
-/// less than this ago was never received.
+/// How long a batch is kept after its caller's deadline, and its results after they
+/// were reported.
 const BATCH_RETENTION: Duration = Duration::from_secs(5);
+/// Longest caller's wait for which a batch is kept.
+const MAX_KEPT_WAIT: Duration = Duration::from_secs(60);
 /// How long ended runs are remembered; must exceed the delay by which listings
 /// can arrive out of order.
 const ENDED_RUN_RETENTION: Duration = Duration::from_secs(1);
@@ -213,6 +216,7 @@
             results: Vec::new(),
             pending: tasks.len() as u32,
             started: false,
+            kept_until: kept_until(now, batch.time_left),
             ended_at: None,
         });
         self.batch_by_number.insert((id, batch.number), key);
@@ -245,21 +249,23 @@
         self.batch_by_number.get(&(id, number)).copied()
     }
 
-    /// Looks up a batch that was sent at `sent_at` or later, on this agent's clock. A
-    /// number that is not known is barred, so that its batch is rejected if it
-    /// arrives after all.
+    /// Looks up a batch that was sent at `sent_at` or later, on this agent's clock,
+    /// for a caller who waited for `time_left` from then on. A number that is not
+    /// known is barred, so that its batch is rejected if it arrives after all.
     pub fn look_up(
         &mut self,
         id: SessionId,
         number: u64,
         sent_at: Uptime,
+        time_left: Duration,
         now: Uptime,
     ) -> BatchLookup {
         if let Some(key) = self.find(id, number) {
             return BatchLookup::Known(key);
         }
         self.barred.insert((id, number), now);
-        let is_forgotten = sent_at + BATCH_RETENTION < now;
+        // had it been received, it would have been kept at least until then
+        let is_forgotten = kept_until(sent_at, time_left) < now;
         Event::BatchUnknown.note(&[
             ("session", id.0.into()),
             ("batch", number.into()),
@@ -634,7 +640,9 @@
     fn forget_ended(&mut self, now: Uptime) {
         self.ended_runs.retain(|_, (_, at)| *at + ENDED_RUN_RETENTION > now);
         self.barred.retain(|_, at| *at + BATCH_RETENTION > now);
-        let is_old = |b: &BatchState| b.ended_at.is_some_and(|at| at + BATCH_RETENTION < now);
+        let is_old = |b: &BatchState| {
+            b.kept_until < now && b.ended_at.is_some_and(|at| at + BATCH_RETENTION < now)
+        };
         let batch_by_number = &mut self.batch_by_number;
         self.batches.retain(|_, batch| {
             let keep = !is_old(batch);
@@ -947,6 +955,7 @@
         batch.pending = batch.pending.saturating_sub(1);
         if batch.pending == 0 {
             batch.ended_at = Some(now);
+            batch.spec = Arc::default();
         }
         let is_due = batch.pending == 0 || result.ending != Ending::Done;
         batch.results.push(result);
@@ -1019,6 +1028,11 @@
     }
 }
 
+/// Time until which a batch is kept that was received, or sent, at `from`.
+fn kept_until(from: Uptime, time_left: Duration) -> Uptime {
+    from + time_left.min(MAX_KEPT_WAIT) + BATCH_RETENTION
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -11,6 +11,8 @@
 
 const ENTRY: SessionId = SessionId(1);
 const CORES: u32 = 10_000;
+/// How long the callers wait.
+const CALLER_WAIT: Duration = Duration::from_secs(10);
 
 macro_rules! cases {
     ($($name:ident: $scene:expr;)*) => {
@@ -124,6 +126,17 @@
         }
         panic!("kept for ever");
     };
+    the_results_of_a_batch_are_kept_while_its_caller_waits: |mut s| {
+        let sent_at = s.now;
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.advance_to(50);
+        s.end(1, &orders[0], EndCause::Done);
+        s.advance_to(10_000);
+        assert_eq!(s.look_up(1, sent_at), BatchLookup::Known(key));
+        assert_eq!(s.endings(key), [Ending::Done]);
+    };
     a_batch_that_was_just_sent_and_is_unknown_was_never_received: |mut s| {
         let sent_at = s.now;
         s.advance_to(1000);
@@ -537,13 +550,13 @@
             resources,
             estimate: Duration::from_millis(100),
             max_wait: Duration::from_millis(wait_ms),
-            time_left: Duration::from_secs(10),
+            time_left: CALLER_WAIT,
             tasks: (0..tasks).map(|index| BatchTask { index, run: 1 }).collect(),
         }
     }
 
     fn look_up(&mut self, number: u64, sent_at: Uptime) -> BatchLookup {
-        self.scheduler.look_up(ENTRY, number, sent_at, self.now)
+        self.scheduler.look_up(ENTRY, number, sent_at, CALLER_WAIT, self.now)
     }
 
     fn take_effects(&mut self) {
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -163,15 +163,18 @@
     }
 
     /// Waits until there is more progress of a batch than the first `after` results.
-    /// The batch was sent at `sent_at` or later, on this agent's clock.
+    /// The batch was sent at `sent_at` or later, on this agent's clock, for a caller
+    /// who waited for `time_left` from then on.
     pub async fn follow(
         self: &Rc<Self>,
         session: SessionId,
         number: u64,
         after: usize,
         sent_at: Uptime,
+        time_left: Duration,
     ) -> BatchStatus {
-        let lookup = self.scheduler.borrow_mut().look_up(session, number, sent_at, uptime());
+        let lookup =
+            self.scheduler.borrow_mut().look_up(session, number, sent_at, time_left, uptime());
         match lookup {
             BatchLookup::Known(key) => self.wait_status(key, after).await,
             BatchLookup::NeverReceived => BatchStatus::NeverReceived,
--- a/crates/runner/src/worker.rs
+++ b/crates/runner/src/worker.rs
@@ -59,7 +59,8 @@
         let session = self.begin_call(params.get_session(), params.get_heard_us())?;
         let (number, after) = (params.get_number(), params.get_after() as usize);
         let sent_at = Duration::from_micros(params.get_sent_us());
-        let status = self.driver.follow(session, number, after, sent_at).await;
+        let time_left = Duration::from_millis(params.get_left_ms().into());
+        let status = self.driver.follow(session, number, after, sent_at, time_left).await;
         write_batch_status(results.get().init_progress(), &status);
         Ok(())
     }
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -274,8 +274,8 @@
   # session tells lives of entries apart, see lease::SessionId.
   place @0 (session :UInt64, batch :Batch, heardUs :UInt64) -> (progress :Progress);
   # What has settled of a batch after the first so many; the reply comes as for place.
-  # The batch was sent at sentUs or later, on the agent's clock.
-  follow @1 (session :UInt64, number :UInt64, after :UInt32, heardUs :UInt64, sentUs :UInt64) -> (progress :Progress);
+  # The batch was sent at sentUs or later, on the agent's clock; leftMs is its own.
+  follow @1 (session :UInt64, number :UInt64, after :UInt32, heardUs :UInt64, sentUs :UInt64, leftMs :UInt32) -> (progress :Progress);
   # Give a batch up; the reply comes when nothing of it runs.
   stop @2 (session :UInt64, number :UInt64) -> (progress :Progress);
 }
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -16088,6 +16088,10 @@
             pub fn get_sent_us(self) -> u64 {
                 self.reader.get_data_field::<u64>(4)
             }
+            #[inline]
+            pub fn get_left_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -16182,6 +16186,14 @@
             pub fn set_sent_us(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(4, value);
             }
+            #[inline]
+            pub fn get_left_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_left_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(5, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -16193,7 +16205,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(107, 248, 58, 173, 6, 238, 172, 197),
                 ::capnp::word(19, 0, 0, 0, 1, 0, 5, 0),
@@ -16203,7 +16215,7 @@
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
@@ -16211,42 +16223,49 @@
                 ::capnp::word(101, 114, 46, 102, 111, 108, 108, 111),
                 ::capnp::word(119, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -16287,6 +16306,14 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -16295,6 +16322,7 @@
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -16308,9 +16336,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,4,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,5,1,4,0];
             pub(crate) const TYPE_ID: u64 = 0xc5ac_ee06_ad3a_f86b;
         }
     }
