dispatch: a stop is repeated until it is answered

When all connections of an entry are lost at once, the caller's too, the entry drops the job and tells its agents to stop the runs, over links that are dead. The agents connect again within 100 ms, and as the entry is alive its session goes on, and the runs with it. The caller sends the job again after 1.3 s, and the task runs twice at a time; after a DELETE it runs on to its end.

Cause: no answer to a stop counted as 'the leases end it', which holds for an entry that died or is cut off, but not for one that is connected again. Change: the stop is sent again over each new link until it is answered, or until no run can be left (the same wait as for a lost batch).

--- a/crates/dispatch/src/agent_client.rs
+++ b/crates/dispatch/src/agent_client.rs
@@ -13,8 +13,7 @@
     placed_batch::{BatchUpdate, PlacedBatch},
 };
 
-/// Longest wait for the answer to a stop; the end of the session or of the
-/// lease stops the runs otherwise.
+/// Longest wait for the answer to a stop until it is sent again.
 const STOP_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Calls agents on behalf of this entry.
@@ -55,14 +54,30 @@
         }
     }
 
-    /// Stops a batch; the leases end what can't be reached.
+    /// Stops a batch. The call is repeated until it is answered, also over new links,
+    /// or until the leases have ended the runs: an agent that is connected again
+    /// would go on with them.
     pub async fn stop(&self, agent: Rc<Agent>, number: u64) {
-        let (_, worker) = agent.link();
+        loop {
+            let (link, worker) = agent.link();
+            let answered = tokio::select! {
+                answer = timeout(STOP_TIMEOUT, self.send_stop(&worker, number)) => {
+                    answer.is_ok_and(|a| a.is_ok())
+                }
+                () = self.until_unreachable(&agent, link) => false,
+            };
+            if answered || !self.wait_until_reachable(&agent, link).await {
+                return;
+            }
+        }
+    }
+
+    async fn send_stop(&self, worker: &worker::Client, number: u64) -> capnp::Result<()> {
         let mut req = worker.stop_request();
         Method::Stop.record_call();
         req.get().set_session(self.session.0);
         req.get().set_number(number);
-        let _ = timeout(STOP_TIMEOUT, req.send().promise).await;
+        req.send().promise.await.map(drop)
     }
 
     async fn place(&self, worker: &worker::Client, batch: &PlacedBatch) -> Option<BatchStatus> {
