lease: a job is not refused while a task of it is here for another entry

A second entry answered 503 to a job sent again while a run of it went on: the agent returned its task as not run ('another run of the task is here') without saying that it may have started.

Change: such a batch counts as started from the beginning, so the entry answers 504 if it can't complete the job.

Taken out of KNOWN-RED.txt. Not changed here: such a job is offered to its agent again without a pause.

--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -206,6 +206,13 @@
         }
         let tasks = batch.tasks.clone();
         let start_deadline = now + batch.max_wait.min(batch.time_left);
+        // a task that is here for another batch may run, so the job can't be said not
+        // to have run
+        let is_here = |task: &BatchTask| {
+            let task = TaskRef { job: batch.job.clone(), index: task.index };
+            self.run_by_task.contains_key(&task)
+        };
+        let started = tasks.iter().any(is_here);
         let key = self.batches.insert(BatchState {
             session: id,
             number: batch.number,
@@ -215,7 +222,7 @@
             estimate: batch.estimate,
             results: Vec::new(),
             pending: tasks.len() as u32,
-            started: false,
+            started,
             kept_until: kept_until(now, batch.time_left),
             ended_at: None,
         });
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -412,7 +412,6 @@
 
 // the same job reached two entries, and the first one's run of it goes on here
 #[test]
-#[ignore = "KNOWN-RED.txt"]
 fn a_task_returned_because_it_runs_here_counts_as_started() {
     let other = SessionId(2);
     let mut s = Scene::new();
