placement: capacity goes to jobs that end in time when there is too little

Entries placed tasks up to the longest wait that the agent accepts, by loads that are up to 272 ms old, and three entries saw the same room. Agents returned 1,655 tasks in 8 s; their jobs had started, took any free capacity with priority and ended late. Late jobs that had not started also took the capacity that the next ones needed to end in time. Work done in time fell as the load grew.

Change: an entry counts on half of the longest wait; a job that may still end in time waits as a whole before late ones; a late job that has not started gets capacity only of an agent that is half free or too slow for its kind. The decision has moved from dispatch to the placement crate, where tests play it.

tests/shortage.rs simulates it.

--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -7,16 +7,16 @@
 use base::{Uptime, uptime};
 use tokio::sync::Notify;
 
-/// Jobs that can no longer end in time and wait for capacity that no other job
-/// needs. They are served after an overload: a late answer is worth less than a
-/// timely one, but more than none.
+/// Jobs that wait: some can still end in time once an agent has free capacity,
+/// others only late. These get capacity that no other job needs: a late answer is
+/// worth less than a timely one, but more than none.
 #[derive(Default)]
 pub struct Backlog {
     waiting: RefCell<BTreeMap<Position, Rc<Waiting>>>,
     last_number: Cell<u64>,
 }
 
-/// Order in the backlog: started jobs first, then by arrival here.
+/// Order in the backlog: by priority, then by arrival here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Position {
     priority: Priority,
@@ -28,7 +28,9 @@
 pub enum Priority {
     /// some of its tasks have run
     Started,
-    Untouched,
+    /// none has run, and it can still end in time
+    Timely,
+    Late,
 }
 
 struct Waiting {
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -3,7 +3,7 @@
 use base::{Event, Name, Uptime, uptime};
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use lease::{Batch, BatchTask, Ending, Progress, TaskResult};
-use placement::{AgentView, Demand, Goal, Objective, Plan};
+use placement::{AgentView, Demand, Objective, Plan, Turn};
 use tokio::time::sleep;
 
 use crate::{
@@ -200,30 +200,37 @@
 
     /// Chooses agents for the tasks; `None` when it is better to wait.
     fn plan(&self, views: &[AgentView], demand: &Demand) -> Option<Plan> {
-        let mut placer = self.dispatcher.placer();
-        let plan = placer.plan(views, demand, Goal::InTime);
-        // part of a job is of little use to the caller, so tasks are placed to end in
-        // time only if all of them can be
-        if plan.unplaced == 0 {
-            return Some(plan);
-        }
-        // jobs that can end in time are placed above without regard to the backlog;
-        // a late job that has not started lets the jobs in the backlog go first
+        // jobs that can end in time are placed without regard to the backlog; a late
+        // job that has not started lets the jobs in the backlog go first
         let has_backlog = !self.dispatcher.agents().backlog.is_empty();
-        let may_place_late = self.ticket.is_some() || !self.is_untouched() || !has_backlog;
-        let plan = may_place_late.then(|| placer.plan(views, demand, Goal::Immediate))?;
-        (!plan.assignments.is_empty()).then_some(plan)
+        let turn = if !self.is_untouched() {
+            Turn::Started
+        } else if self.ticket.is_some() || !has_backlog {
+            Turn::First
+        } else {
+            Turn::Behind
+        };
+        self.dispatcher.placer().place(views, demand, turn)
     }
 
     /// Adds the job to the backlog, or changes its priority there.
     fn join_backlog(&mut self) {
-        let priority = if self.is_untouched() { Priority::Untouched } else { Priority::Started };
+        let priority = self.priority();
         if self.ticket.as_ref().is_some_and(|t| t.priority() == priority) {
             return;
         }
         self.ticket = Some(self.dispatcher.agents().backlog.join(priority));
     }
 
+    fn priority(&self) -> Priority {
+        if !self.is_untouched() {
+            return Priority::Started;
+        }
+        let demand = self.demand(self.tasks.len());
+        let may = self.dispatcher.placer().may_end_in_time(&self.load_views(), &demand);
+        if may { Priority::Timely } else { Priority::Late }
+    }
+
     /// Whether capacity is likely to become free while an answer is of use.
     fn may_join_backlog(&self, time_left: Duration) -> bool {
         if self.ticket.is_some() {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub use agent_view::AgentView;
 pub use objective::{Objective, ObjectiveSettings};
-pub use placer::{Assignment, Demand, Goal, Placer, PlacerSettings, Plan, Refusal};
+pub use placer::{Assignment, Demand, Goal, Placer, PlacerSettings, Plan, Refusal, Turn};
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -20,6 +20,12 @@
     /// random addition to costs, up to this share of the run time, so that
     /// entries with the same view make different choices
     pub jitter: f64,
+    /// share of the longest wait that a placement may count on, 0 to 1; the rest
+    /// covers loads that have changed since they were reported
+    pub planned_wait: f64,
+    /// share of an agent's capacity that must be free for late jobs to use any, 0
+    /// to 1
+    pub reserve: f64,
     /// shortest delay until a refused caller retries
     pub min_retry_delay: Duration,
 }
@@ -30,6 +36,8 @@
             collision_risk: 0.6,
             collision_cost: 0.5,
             jitter: 0.05,
+            planned_wait: 0.5,
+            reserve: 0.5,
             min_retry_delay: Duration::from_millis(1000),
         }
     }
@@ -72,6 +80,19 @@
     InTime,
     /// those with free capacity now, because the objective is missed anyway
     Immediate,
+    /// those with free capacity that a job which arrives now would not miss
+    Spare,
+}
+
+/// Turn of a job that can't be placed to end in time as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// some of its tasks have run, or may have
+    Started,
+    /// none of its tasks has run, and no other job goes first
+    First,
+    /// other jobs go first
+    Behind,
 }
 
 /// Refusal of a job, with the delay after which the caller should retry.
@@ -89,6 +110,8 @@
 struct Candidate {
     index: usize,
     free: Resources,
+    /// millicores that must be free for late jobs to use any
+    reserve: u32,
     /// expected wait of the next task
     wait: Duration,
     /// wait added by one more task
@@ -104,13 +127,39 @@
         Self { settings, rng: SmallRng::seed_from_u64(seed) }
     }
 
+    /// Places a job, as a whole if it can end in time; `None` when it is better to
+    /// wait.
+    pub fn place(&mut self, agents: &[AgentView], demand: &Demand, turn: Turn) -> Option<Plan> {
+        // part of a job is of little use to the caller, so tasks are placed to end in
+        // time only if all of them can be
+        let plan = self.plan(agents, demand, Goal::InTime);
+        if plan.unplaced == 0 {
+            return Some(plan);
+        }
+        let goal = match turn {
+            Turn::Started => Goal::Immediate,
+            Turn::First if self.may_end_in_time(agents, demand) => return None,
+            Turn::First => Goal::Spare,
+            Turn::Behind => return None,
+        };
+        let plan = self.plan(agents, demand, goal);
+        (!plan.assignments.is_empty()).then_some(plan)
+    }
+
+    /// Whether a task that starts now can end in time at any agent.
+    pub fn may_end_in_time(&self, agents: &[AgentView], demand: &Demand) -> bool {
+        let mut usable = agents.iter().filter(|a| a.is_usable(demand.resources));
+        usable.any(|a| demand.objective.max_wait(demand.age, a.run_time(demand.estimate)).is_some())
+    }
+
     /// Finds an agent for each task: the one with free capacity where the task
     /// is expected to end first, or else one where it waits and ends in time.
     pub fn plan(&mut self, agents: &[AgentView], demand: &Demand, goal: Goal) -> Plan {
         let mut candidates = self.candidates(agents, demand);
         let mut unplaced = demand.count;
         while unplaced > 0 {
-            let eligible = candidates.iter_mut().filter(|c| c.is_eligible(demand, goal));
+            let eligible =
+                candidates.iter_mut().filter(|c| c.is_eligible(&self.settings, demand, goal));
             // free capacity is preferred: it is known, while waits are estimates
             let best =
                 eligible.min_by_key(|c| (!c.has_capacity(demand), c.cost(&self.settings, demand)));
@@ -138,17 +187,11 @@
     }
 
     fn candidates(&mut self, agents: &[AgentView], demand: &Demand) -> Vec<Candidate> {
-        let usable = agents
-            .iter()
-            .enumerate()
-            .filter(|(_, a)| a.load.ready && !a.excluded && demand.resources.fits(a.load.capacity));
+        let usable = agents.iter().enumerate().filter(|(_, a)| a.is_usable(demand.resources));
         usable
             .map(|(index, agent)| {
                 let max_tasks = agent.max_tasks.unwrap_or(usize::MAX);
-                // the bounds keep the run time above zero and distance from shortening it
-                let run_time = demand
-                    .estimate
-                    .mul_f64(agent.load.slowness.max(0.01) * agent.distance_factor.max(1.0));
+                let run_time = agent.run_time(demand.estimate);
                 let capacity = f64::from(agent.load.capacity.cpu.max(1));
                 let wait_per_task = run_time.mul_f64(f64::from(demand.resources.cpu) / capacity);
                 let unreported_tasks =
@@ -159,6 +202,7 @@
                 Candidate {
                     index,
                     free: agent.load.free.minus(agent.unreported),
+                    reserve: (capacity * self.settings.reserve) as u32,
                     wait: agent.load.expected_wait + added,
                     wait_per_task,
                     run_time,
@@ -177,19 +221,28 @@
         demand.resources.fits(self.free) && self.wait.is_zero()
     }
 
-    fn is_eligible(&self, demand: &Demand, goal: Goal) -> bool {
+    fn is_eligible(&self, settings: &PlacerSettings, demand: &Demand, goal: Goal) -> bool {
         if self.assigned >= self.max_tasks {
             return false;
         }
         match goal {
             Goal::InTime => {
                 let max_wait = demand.objective.max_wait(demand.age, self.run_time);
-                max_wait.is_some_and(|max_wait| self.expected_wait(demand) <= max_wait)
+                let planned = max_wait.map(|wait| wait.mul_f64(settings.planned_wait));
+                planned.is_some_and(|planned| self.expected_wait(demand) <= planned)
             }
             Goal::Immediate => self.has_capacity(demand),
+            Goal::Spare => self.has_capacity(demand) && self.is_spare(demand),
         }
     }
 
+    /// Whether jobs that arrive now are not expected to miss its free capacity:
+    /// there is plenty, or it is too slow for them.
+    fn is_spare(&self, demand: &Demand) -> bool {
+        let is_too_slow = demand.objective.max_wait(Duration::ZERO, self.run_time).is_none();
+        is_too_slow || self.free.cpu >= self.reserve
+    }
+
     fn expected_wait(&self, demand: &Demand) -> Duration {
         if self.has_capacity(demand) { Duration::ZERO } else { self.wait + self.wait_per_task }
     }
@@ -201,7 +254,7 @@
                 .max_wait(demand.age, self.run_time)
                 .unwrap_or_default()
                 .max(MIN_WAIT),
-            Goal::Immediate => MIN_WAIT,
+            Goal::Immediate | Goal::Spare => MIN_WAIT,
         }
     }
 
--- a/crates/placement/tests/placer.rs
+++ b/crates/placement/tests/placer.rs
@@ -3,10 +3,15 @@
 use std::time::Duration;
 
 use lease::{AgentLoad, Resources};
-use placement::{AgentView, Demand, Goal, Objective, ObjectiveSettings, Placer, PlacerSettings};
+use placement::{
+    AgentView, Demand, Goal, Objective, ObjectiveSettings, Placer, PlacerSettings, Turn,
+};
 
 const TASK: Resources = Resources { cpu: 6000, memory: 64, gpu: 0 };
 
+/// Age of a job that can't end in time any more.
+const LATE: Duration = Duration::from_millis(250);
+
 macro_rules! cases {
     ($($name:ident: $case:expr;)*) => {
         $(#[test] fn $name() { let case: fn() = $case; case(); })*
@@ -33,6 +38,34 @@
         assert_eq!(assign(&[full(0.8, 1), idle(3.0)], 1, Goal::Immediate), [(1, 1)]);
         assert!(assign(&[full(0.8, 1)], 1, Goal::Immediate).is_empty());
     };
+    a_plan_counts_on_half_of_the_longest_wait: || {
+        let wait = objective().max_wait(Duration::ZERO, Duration::from_millis(80));
+        let half = wait.expect("there is time").as_millis() as u64 / 2;
+        assert_eq!(assign(&[full(0.8, half - 10)], 1, Goal::InTime), [(0, 1)]);
+        assert!(assign(&[full(0.8, half + 10)], 1, Goal::InTime).is_empty());
+    };
+    a_job_that_may_end_in_time_waits_for_capacity: || {
+        assert_eq!(place(&[full(0.8, 500), idle(3.0)], Duration::ZERO, Turn::First), None);
+    };
+    a_late_job_gets_only_spare_capacity: || {
+        let agents = [free(0.8, 31_000), free(0.8, 33_000)];
+        assert_eq!(place(&agents, LATE, Turn::First), Some(vec![(1, 1)]));
+        assert_eq!(place(&agents[..1], LATE, Turn::First), None);
+    };
+    a_late_job_gets_the_last_capacity_of_an_agent_too_slow_for_others: || {
+        assert_eq!(place(&[free(3.0, 7000)], LATE, Turn::First), Some(vec![(0, 1)]));
+    };
+    a_late_job_gets_an_idle_agent_with_capacity_for_one_task: || {
+        let mut agent = free(0.8, TASK.cpu);
+        agent.load.capacity.cpu = TASK.cpu;
+        assert_eq!(place(&[agent], LATE, Turn::First), Some(vec![(0, 1)]));
+    };
+    a_started_job_gets_the_last_capacity: || {
+        assert_eq!(place(&[free(0.8, 7000)], LATE, Turn::Started), Some(vec![(0, 1)]));
+    };
+    a_late_job_lets_others_go_first: || {
+        assert_eq!(place(&[idle(0.8)], LATE, Turn::Behind), None);
+    };
     tasks_sent_since_the_report_count: || {
         let mut agent = idle(0.8);
         agent.unreported = TASK.times(10);
@@ -109,6 +142,12 @@
     plan.assignments.iter().map(|p| (p.agent, p.tasks)).collect()
 }
 
+/// The same for a job of one task and this age; `None` when it waits.
+fn place(agents: &[AgentView], age: Duration, turn: Turn) -> Option<Vec<(usize, usize)>> {
+    let plan = placer().place(agents, &Demand { age, ..demand(1) }, turn)?;
+    Some(plan.assignments.iter().map(|p| (p.agent, p.tasks)).collect())
+}
+
 fn objective() -> Objective {
     let estimate = Duration::from_millis(100);
     Objective::new(&ObjectiveSettings::default(), estimate, 1.6, Duration::from_millis(60))
@@ -131,6 +170,12 @@
     AgentView { load, distance_factor: 1.0, ..AgentView::default() }
 }
 
+fn free(slowness: f64, cpu: u32) -> AgentView {
+    let mut agent = idle(slowness);
+    agent.load.free.cpu = cpu;
+    agent
+}
+
 fn full(slowness: f64, wait_ms: u64) -> AgentView {
     let mut agent = idle(slowness);
     agent.load.free = Resources::default();
--- /dev/null
+++ b/crates/placement/tests/shortage.rs
@@ -0,0 +1,649 @@
+//! Simulates entries and agents without a network while backend servers are
+//! missing for long: a tenth more work than the rest can do, with messages that
+//! take time, load reports that are old, tasks that agents return and jobs that
+//! wait at their entry. Checks what callers get.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use base::Uptime;
+use lease::{
+    AgentLoad, Batch, BatchKey, BatchTask, Effect, EndCause, Ending, HealthSettings, LeaseBounds,
+    LeaseTimings, Listing, Progress, Resources, RunEnd, RunProgress, Scheduler, SchedulerSettings,
+    SessionId, StartOutcome, TaskRef,
+};
+use placement::{
+    AgentView, Demand, Objective, ObjectiveSettings, Placer, PlacerSettings, Plan, Turn,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const ENTRIES: usize = 3;
+/// Speed and cores of the backend servers.
+const BACKENDS: [(f64, u32); 9] = [
+    (1.2, 32),
+    (0.55, 32),
+    (0.55, 32),
+    (0.55, 48),
+    (0.55, 32),
+    (0.55, 32),
+    (0.55, 32),
+    (0.55, 48),
+    (0.55, 32),
+];
+/// Factor of an estimate over the work at speed 1.
+const ESTIMATE_FACTOR: f64 = 1.37;
+/// One way of a message between an entry and an agent.
+const DELAY: Duration = Duration::from_millis(2);
+const REPORT_INTERVAL_MS: u64 = 272;
+const CALLER_TIMEOUT: Duration = Duration::from_millis(1470);
+/// Multiple of its objective that a caller waits at least.
+const PATIENCE: f64 = 4.0;
+const LATE_FACTOR: u32 = 3;
+const STRETCH: f64 = 1.6;
+const TARGET: Duration = Duration::from_millis(60);
+const SECONDS: u64 = 6;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
+/// Work in milliseconds, tasks a job and jobs a second of each kind; together as
+/// much work as the backend servers can do.
+const KINDS: [(f64, f64, f64); 3] = [(60.0, 8.0, 27.6), (900.0, 4.0, 5.0), (200.0, 2.0, 80.3)];
+
+struct Job {
+    kind: usize,
+    entry: usize,
+    arrived_at: Uptime,
+    estimate: Duration,
+    objective: Objective,
+    target: Duration,
+    timeout: Duration,
+    cpu: u32,
+    work: Vec<Duration>,
+    unplaced: BTreeMap<u32, u32>,
+    pending: usize,
+    placed: BTreeSet<u64>,
+    started: bool,
+    avoided: BTreeSet<usize>,
+    ticket: Option<(u8, u64)>,
+    joined_at: Uptime,
+    has_ended: bool,
+    completed_at: Option<Uptime>,
+}
+
+struct Agent {
+    scheduler: Scheduler,
+    speed: f64,
+    running: BTreeMap<TaskRef, (u32, Uptime, Uptime)>,
+    ended: Vec<RunEnd>,
+    last_end: u64,
+    /// job, batch number and results sent of each open batch
+    open: Vec<(usize, u64, usize, BatchKey)>,
+}
+
+enum Message {
+    Place(usize, usize, Batch),
+    Cancel(usize, u64),
+    Update(usize, usize, u64, Progress),
+    Report(usize, usize, AgentLoad),
+}
+
+struct Simulation {
+    rng: StdRng,
+    now: Uptime,
+    agents: Vec<Agent>,
+    placers: Vec<Placer>,
+    views: Vec<Vec<AgentView>>,
+    jobs: Vec<Job>,
+    backlog: Vec<BTreeMap<(u8, u64), usize>>,
+    messages: VecDeque<(Uptime, Message)>,
+    last_number: u64,
+    late_starts: u32,
+}
+
+/// Outcomes of the jobs of one kind; work in core-seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
+    submitted: u32,
+    timely: u32,
+    late: u32,
+    timely_work: f64,
+    useless_work: f64,
+}
+
+impl Outcomes {
+    fn timely_share(self) -> f64 {
+        f64::from(self.timely) / f64::from(self.submitted.max(1))
+    }
+
+    fn answered_share(self) -> f64 {
+        f64::from(self.timely + self.late) / f64::from(self.submitted.max(1))
+    }
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let timings = LeaseTimings::new(&LeaseBounds::default()).expect("defaults are valid");
+        let now = Duration::from_secs(100);
+        let agents = BACKENDS.map(|(speed, cores)| {
+            let health = HealthSettings::default();
+            let mut scheduler =
+                Scheduler::new(SchedulerSettings { timings, health, max_queued: 1000 });
+            let capacity = Resources { cpu: cores * 1000, memory: 100_000, gpu: 0 };
+            scheduler.on_announcement(1, capacity, false, now);
+            scheduler.on_listing(
+                &Listing { requested_at: now, started_ms: 1, ..Listing::default() },
+                now,
+            );
+            Agent {
+                scheduler,
+                speed,
+                running: BTreeMap::new(),
+                ended: Vec::new(),
+                last_end: 0,
+                open: Vec::new(),
+            }
+        });
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now,
+            agents: agents.into(),
+            placers: (0..ENTRIES)
+                .map(|i| Placer::new(PlacerSettings::default(), seed + i as u64))
+                .collect(),
+            views: vec![
+                vec![
+                    AgentView { distance_factor: 1.0, ..AgentView::default() };
+                    BACKENDS.len()
+                ];
+                ENTRIES
+            ],
+            jobs: Vec::new(),
+            backlog: vec![BTreeMap::new(); ENTRIES],
+            messages: VecDeque::new(),
+            last_number: 0,
+            late_starts: 0,
+        }
+    }
+
+    fn run(mut self, load: f64) -> Self {
+        for step in 0..SECONDS * 1000 + 2000 {
+            self.now += Duration::from_millis(1);
+            for i in 0..self.agents.len() {
+                if step % REPORT_INTERVAL_MS == i as u64 * 29 {
+                    for entry in 0..ENTRIES {
+                        let now = self.now;
+                        let scheduler = &mut self.agents[i].scheduler;
+                        scheduler.extend_session(session(entry), &"entry".into(), now, now);
+                        let load = scheduler.load(now);
+                        self.send(Message::Report(i, entry, load));
+                    }
+                }
+                self.step_agent(i);
+            }
+            while let Some((at, _)) = self.messages.front()
+                && *at <= self.now
+            {
+                let Some((_, message)) = self.messages.pop_front() else { break };
+                self.on_message(message);
+            }
+            if (300..SECONDS * 1000).contains(&step) {
+                self.submit(load);
+            }
+            self.look_again();
+        }
+        self
+    }
+
+    fn submit(&mut self, load: f64) {
+        for (kind, (work_ms, width, rate)) in KINDS.into_iter().enumerate() {
+            if !self.rng.random_bool((rate * load / 1000.0).min(1.0)) {
+                continue;
+            }
+            let mean = work_ms * spread(&mut self.rng);
+            let tasks = ((width * spread(&mut self.rng)).round() as usize).max(1);
+            let work: Vec<Duration> = (0..tasks)
+                .map(|_| {
+                    let ms = mean * self.rng.random_range(0.85..1.15);
+                    Duration::from_secs_f64(ms / 1000.0)
+                })
+                .collect();
+            let longest = work.iter().max().copied().unwrap_or_default();
+            let off = self.rng.random_range(0.6..1.4);
+            let estimate = longest.mul_f64(ESTIMATE_FACTOR * off);
+            let job = Job {
+                kind,
+                entry: self.rng.random_range(0..ENTRIES),
+                arrived_at: self.now,
+                estimate,
+                objective: Objective::new(&ObjectiveSettings::default(), estimate, STRETCH, TARGET),
+                target: longest.mul_f64(ESTIMATE_FACTOR * STRETCH) + TARGET,
+                timeout: CALLER_TIMEOUT.max(longest.mul_f64(ESTIMATE_FACTOR * STRETCH * PATIENCE)),
+                cpu: self.rng.random_range(2500..3700),
+                unplaced: (0..work.len() as u32).map(|i| (i, 1)).collect(),
+                pending: work.len(),
+                work,
+                placed: BTreeSet::new(),
+                started: false,
+                avoided: BTreeSet::new(),
+                ticket: None,
+                joined_at: Duration::ZERO,
+                has_ended: false,
+                completed_at: None,
+            };
+            self.jobs.push(job);
+            self.turn(self.jobs.len() - 1);
+        }
+    }
+
+    /// What an entry does for a job when it looks at it.
+    fn turn(&mut self, number: usize) {
+        let now = self.now;
+        let job = &self.jobs[number];
+        if job.has_ended {
+            return;
+        }
+        let age = now - job.arrived_at;
+        let Some(time_left) = job.timeout.checked_sub(age).filter(|l| !l.is_zero()) else {
+            return self.end(number);
+        };
+        let useful = job.objective.cutoff.saturating_sub(age).min(time_left);
+        if useful < job.estimate && job.is_untouched() {
+            return self.end(number);
+        }
+        let entry = job.entry;
+        let unplaced = self.place(number, time_left);
+        let job = &self.jobs[number];
+        if unplaced == 0 {
+            return self.leave_backlog(number);
+        }
+        if job.is_untouched() && job.ticket.is_none() {
+            let since = self.backlog[entry].values().map(|n| self.jobs[*n].joined_at).min();
+            let longest = since.map(|s| now - s).unwrap_or_default();
+            if longest + job.estimate.mul_f64(2.0) >= useful {
+                return self.end(number);
+            }
+        }
+        if job.placed.is_empty() && time_left < job.estimate {
+            return self.end(number);
+        }
+        let class = if !job.is_untouched() {
+            0
+        } else if self.may_end_in_time(number) {
+            1
+        } else {
+            2
+        };
+        if job.ticket.is_none_or(|(t, _)| t != class) {
+            self.last_number += 1;
+            let ticket = (class, self.last_number);
+            if let Some(old) = self.jobs[number].ticket.replace(ticket) {
+                self.backlog[entry].remove(&old);
+            }
+            self.jobs[number].joined_at = now;
+            self.backlog[entry].insert(ticket, number);
+        }
+    }
+
+    fn place(&mut self, number: usize, time_left: Duration) -> usize {
+        let job = &self.jobs[number];
+        if job.unplaced.is_empty() {
+            return 0;
+        }
+        let entry = job.entry;
+        let demand = self.demand(number);
+        let resources = demand.resources;
+        if (0..BACKENDS.len()).all(|a| job.avoided.contains(&a) || !self.views[entry][a].load.ready)
+        {
+            self.jobs[number].avoided.clear();
+        }
+        let job = &self.jobs[number];
+        let mut views = self.views[entry].clone();
+        job.avoided.iter().for_each(|a| views[*a].excluded = true);
+        let Some(plan) = self.plan(number, &views, &demand) else { return demand.count };
+        for assignment in &plan.assignments {
+            let job = &mut self.jobs[number];
+            let tasks: Vec<BatchTask> = (0..assignment.tasks)
+                .filter_map(|_| job.unplaced.pop_first())
+                .map(|(index, run)| BatchTask { index, run })
+                .collect();
+            self.last_number += 1;
+            job.placed.insert(self.last_number);
+            let view = &mut self.views[entry][assignment.agent];
+            view.unreported = view.unreported.plus(resources.times(tasks.len() as u32));
+            let batch = Batch {
+                number: self.last_number,
+                job: number.to_string().as_str().into(),
+                spec: "".into(),
+                resources,
+                estimate: job.estimate,
+                max_wait: assignment.max_wait,
+                time_left,
+                tasks,
+            };
+            self.send(Message::Place(assignment.agent, number, batch));
+        }
+        plan.unplaced
+    }
+
+    fn plan(&mut self, number: usize, views: &[AgentView], demand: &Demand) -> Option<Plan> {
+        let job = &self.jobs[number];
+        let turn = if !job.is_untouched() {
+            Turn::Started
+        } else if job.ticket.is_some() || self.backlog[job.entry].is_empty() {
+            Turn::First
+        } else {
+            Turn::Behind
+        };
+        self.placers[job.entry].place(views, demand, turn)
+    }
+
+    fn may_end_in_time(&self, number: usize) -> bool {
+        let entry = self.jobs[number].entry;
+        self.placers[entry].may_end_in_time(&self.views[entry], &self.demand(number))
+    }
+
+    fn demand(&self, number: usize) -> Demand {
+        let job = &self.jobs[number];
+        Demand {
+            resources: Resources { cpu: job.cpu, memory: 64, gpu: 0 },
+            count: job.unplaced.len(),
+            estimate: job.estimate,
+            objective: job.objective,
+            age: self.now - job.arrived_at,
+        }
+    }
+
+    fn end(&mut self, number: usize) {
+        self.leave_backlog(number);
+        let job = &mut self.jobs[number];
+        job.has_ended = true;
+        for batch in std::mem::take(&mut job.placed) {
+            self.send(Message::Cancel(number, batch));
+        }
+    }
+
+    fn leave_backlog(&mut self, number: usize) {
+        let job = &mut self.jobs[number];
+        let entry = job.entry;
+        if let Some(ticket) = job.ticket.take() {
+            self.backlog[entry].remove(&ticket);
+            self.wake_first(entry);
+        }
+    }
+
+    fn wake_first(&mut self, entry: usize) {
+        if let Some((_, number)) = self.backlog[entry].first_key_value() {
+            self.turn(*number);
+        }
+    }
+
+    /// Jobs whose timers are due.
+    fn look_again(&mut self) {
+        let due: Vec<usize> = (0..self.jobs.len())
+            .filter(|n| {
+                let job = &self.jobs[*n];
+                let age = self.now - job.arrived_at;
+                let cutoff = job.objective.cutoff.min(job.timeout);
+                !job.has_ended
+                    && (age >= job.timeout || job.is_untouched() && age + job.estimate > cutoff)
+            })
+            .collect();
+        due.into_iter().for_each(|n| self.turn(n));
+    }
+
+    fn send(&mut self, message: Message) {
+        self.messages.push_back((self.now + DELAY, message));
+    }
+
+    fn on_message(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Place(i, number, batch) => {
+                let id = session(self.jobs[number].entry);
+                let agent = &mut self.agents[i];
+                agent.scheduler.extend_session(id, &"entry".into(), now, now);
+                let count = batch.number;
+                let key = agent.scheduler.place(id, batch, now);
+                agent.open.push((number, count, 0, key));
+                self.apply(i);
+            }
+            Message::Cancel(number, batch) => {
+                for i in 0..self.agents.len() {
+                    let agent = &mut self.agents[i];
+                    let of_job = agent.open.iter().find(|o| o.0 == number && o.1 == batch);
+                    if let Some(key) = of_job.map(|o| o.3) {
+                        agent.scheduler.cancel_batch(key, now);
+                        agent.open.retain(|o| o.1 != batch);
+                        self.apply(i);
+                    }
+                }
+            }
+            Message::Update(i, number, batch, progress) => {
+                self.on_update(i, number, batch, progress);
+            }
+            Message::Report(i, entry, load) => self.set_load(i, entry, load),
+        }
+    }
+
+    fn set_load(&mut self, i: usize, entry: usize, load: AgentLoad) {
+        let view = &mut self.views[entry][i];
+        view.load = load;
+        view.unreported = Resources::default();
+        self.wake_first(entry);
+    }
+
+    fn on_update(&mut self, i: usize, number: usize, batch: u64, progress: Progress) {
+        let job = &mut self.jobs[number];
+        job.started |= progress.started;
+        for result in &progress.results {
+            if result.ending == Ending::Done {
+                job.pending -= 1;
+            } else {
+                job.unplaced.insert(result.index, result.run + 1);
+                job.avoided.insert(i);
+            }
+        }
+        if progress.pending == 0 {
+            job.placed.remove(&batch);
+        }
+        let entry = job.entry;
+        if job.pending == 0 && !job.has_ended {
+            job.completed_at = Some(self.now);
+            self.end(number);
+        }
+        self.set_load(i, entry, progress.load);
+        self.turn(number);
+    }
+
+    fn step_agent(&mut self, i: usize) {
+        let now = self.now;
+        let agent = &mut self.agents[i];
+        let done: Vec<TaskRef> = agent
+            .running
+            .iter()
+            .filter(|(_, (_, _, end))| *end <= now)
+            .map(|(task, _)| task.clone())
+            .collect();
+        let any = !done.is_empty();
+        for task in done {
+            let Some((run, ..)) = agent.running.remove(&task) else { continue };
+            agent.last_end += 1;
+            agent.ended.push(RunEnd { sequence: agent.last_end, task, run, cause: EndCause::Done });
+        }
+        agent.scheduler.renew_lease(now);
+        if any || now.as_millis() % 100 == i as u128 || !agent.ended.is_empty() {
+            let running = agent.running.iter().map(|(task, (run, begin, end))| {
+                let share = (now - *begin).as_secs_f64() / (*end - *begin).as_secs_f64();
+                RunProgress { task: task.clone(), run: *run, percent: (share * 100.0) as u32 }
+            });
+            let running = running.collect();
+            let ended = std::mem::take(&mut agent.ended);
+            let listing = Listing { requested_at: now, started_ms: 1, running, ended };
+            agent.scheduler.on_listing(&listing, now);
+        } else {
+            agent.scheduler.tick(now);
+        }
+        self.apply(i);
+    }
+
+    fn apply(&mut self, i: usize) {
+        let now = self.now;
+        for effect in self.agents[i].scheduler.take_effects() {
+            let agent = &mut self.agents[i];
+            match effect {
+                Effect::Start(order) => {
+                    let number: usize = order.task.job.parse().expect("jobs are numbered");
+                    let job = &self.jobs[number];
+                    self.late_starts += u32::from(now - job.arrived_at > job.timeout + DELAY);
+                    let run_time = job.work[order.task.index as usize].div_f64(agent.speed);
+                    agent.running.insert(order.task, (order.run, now, now + run_time));
+                    assert!(agent.scheduler.lease_for_start(order.key, now).is_some());
+                    agent.scheduler.on_start_outcome(order.key, StartOutcome::Accepted, now);
+                }
+                Effect::Stop(order) => {
+                    if let Some((run, ..)) = agent.running.remove(&order.task) {
+                        agent.last_end += 1;
+                        agent.ended.push(RunEnd {
+                            sequence: agent.last_end,
+                            task: order.task.clone(),
+                            run,
+                            cause: EndCause::Stopped,
+                        });
+                    }
+                    agent.scheduler.on_stop_confirmed(&order, now);
+                }
+                _ => {}
+            }
+        }
+        let mut updates = Vec::new();
+        let agent = &mut self.agents[i];
+        agent.open.retain_mut(|(number, batch, seen, key)| {
+            let Some(progress) = agent.scheduler.progress(*key, *seen, now) else { return true };
+            *seen += progress.results.len();
+            let ended = progress.pending == 0;
+            updates.push(Message::Update(i, *number, *batch, progress));
+            !ended
+        });
+        updates.into_iter().for_each(|u| self.send(u));
+    }
+
+    /// Outcomes by kind.
+    fn outcomes(&self) -> [Outcomes; 3] {
+        [0, 1, 2].map(|kind| self.outcomes_from(kind, 0.0))
+    }
+
+    /// Outcomes of the largest tenth of a kind.
+    fn largest(&self, kind: usize) -> Outcomes {
+        let mut sizes: Vec<f64> =
+            self.jobs.iter().filter(|j| j.kind == kind).map(Job::size).collect();
+        sizes.sort_by(f64::total_cmp);
+        self.outcomes_from(kind, sizes[sizes.len() * 9 / 10])
+    }
+
+    fn outcomes_from(&self, kind: usize, least: f64) -> Outcomes {
+        let mut it = Outcomes::default();
+        for job in self.jobs.iter().filter(|j| j.kind == kind && j.size() >= least) {
+            it.submitted += 1;
+            let Some(at) = job.completed_at else { continue };
+            // the way of the answer and of the request
+            let took = at - job.arrived_at + DELAY * 2;
+            if took <= job.target {
+                it.timely += 1;
+                it.timely_work += job.size();
+            } else if took <= job.target * LATE_FACTOR {
+                it.late += 1;
+            } else {
+                it.useless_work += job.size();
+            }
+        }
+        it
+    }
+}
+
+impl Job {
+    fn is_untouched(&self) -> bool {
+        !self.started && self.placed.is_empty()
+    }
+
+    /// Core-seconds.
+    fn size(&self) -> f64 {
+        let work: Duration = self.work.iter().sum();
+        work.as_secs_f64() * f64::from(self.cpu) / 1000.0
+    }
+}
+
+fn session(entry: usize) -> SessionId {
+    SessionId(entry as u64 + 1)
+}
+
+/// A factor with mean 1 and a spread of 0.4.
+fn spread(rng: &mut StdRng) -> f64 {
+    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+    (0.385 * normal - 0.074).exp()
+}
+
+/// Outcomes over some seeds, `load` times as much work as can be done.
+fn outcomes(load: f64) -> [Outcomes; 3] {
+    let mut sum = [Outcomes::default(); 3];
+    for seed in SEEDS {
+        for (sum, it) in sum.iter_mut().zip(Simulation::new(seed).run(load).outcomes()) {
+            sum.submitted += it.submitted;
+            sum.timely += it.timely;
+            sum.late += it.late;
+            sum.timely_work += it.timely_work;
+            sum.useless_work += it.useless_work;
+        }
+    }
+    sum
+}
+
+fn timely_work(outcomes: &[Outcomes; 3]) -> f64 {
+    outcomes.iter().map(|o| o.timely_work).sum()
+}
+
+macro_rules! overloads {
+    ($($name:ident: $load:expr, $timely:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (full, over) = (outcomes(0.9), outcomes($load));
+            // more work than can be done must not cost work that is done in time
+            let (before, after) = (timely_work(&full), timely_work(&over));
+            assert!(after > 0.97 * before, "in time {after}, {before} without overload");
+            let useless: f64 = over.iter().map(|o| o.useless_work).sum();
+            assert!(useless < 0.03 * after, "{useless} for answers of no use, {after} in time");
+            for (kind, (it, least)) in over.into_iter().zip($timely).enumerate() {
+                assert!(it.timely_share() > least, "kind {kind}: {it:?}");
+            }
+        }
+    )*};
+}
+
+overloads! {
+    a_tenth_too_much_work: 1.1, [0.3, 0.8, 0.7];
+    half_too_much_work: 1.5, [0.15, 0.6, 0.5];
+}
+
+#[test]
+fn below_capacity_nearly_all_jobs_are_answered_in_time() {
+    for (kind, it) in outcomes(0.7).into_iter().enumerate() {
+        assert!(it.timely_share() > 0.85, "kind {kind}: {it:?}");
+        assert!(it.answered_share() > 0.95, "kind {kind}: {it:?}");
+    }
+}
+
+#[test]
+fn in_an_overload_large_jobs_do_not_starve() {
+    for seed in SEEDS {
+        let simulation = Simulation::new(seed).run(1.1);
+        for (kind, all) in simulation.outcomes().into_iter().enumerate() {
+            let (largest, all) = (simulation.largest(kind).answered_share(), all.answered_share());
+            assert!(largest > all / 2.0, "kind {kind}: {largest} of the largest, {all} of all");
+        }
+    }
+}
+
+#[test]
+fn no_task_starts_after_its_caller_timed_out() {
+    assert_eq!(Simulation::new(1).run(1.5).late_starts, 0);
+}
