--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -21,7 +21,7 @@
     /// entries with the same view make different choices
     pub jitter: f64,
     /// share of the longest wait that a placement may count on, 0 to 1; the rest
-    /// covers loads that have changed since they were reported
+    /// covers estimates that are off and loads that have changed since a report
     pub planned_wait: f64,
     /// share of an agent's capacity that must be free for late jobs to use any, 0
     /// to 1
--- a/crates/placement/tests/shortage.rs
+++ b/crates/placement/tests/shortage.rs
@@ -1,7 +1,7 @@
 //! Simulates entries and agents without a network while backend servers are
-//! missing for long: a tenth more work than the rest can do, with messages that
-//! take time, load reports that are old, tasks that agents return and jobs that
-//! wait at their entry. Checks what callers get.
+//! missing for long: more work than the rest can do, with estimates that are off,
+//! messages that take time, load reports that are old, tasks that agents return
+//! and jobs that wait at their entry. Checks what callers get.
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -56,15 +56,19 @@
     arrived_at: Uptime,
     estimate: Duration,
     objective: Objective,
+    /// objective by the actual work
     target: Duration,
     timeout: Duration,
     cpu: u32,
     work: Vec<Duration>,
+    /// index and next run of each task without a place
     unplaced: BTreeMap<u32, u32>,
     pending: usize,
+    /// numbers of its open batches
     placed: BTreeSet<u64>,
     started: bool,
     avoided: BTreeSet<usize>,
+    /// priority and number in the backlog of its entry
     ticket: Option<(u8, u64)>,
     joined_at: Uptime,
     has_ended: bool,
@@ -74,6 +78,7 @@
 struct Agent {
     scheduler: Scheduler,
     speed: f64,
+    /// number, start and end of each run
     running: BTreeMap<TaskRef, (u32, Uptime, Uptime)>,
     ended: Vec<RunEnd>,
     last_end: u64,
@@ -98,6 +103,7 @@
     backlog: Vec<BTreeMap<(u8, u64), usize>>,
     messages: VecDeque<(Uptime, Message)>,
     last_number: u64,
+    /// starts after the caller's timeout
     late_starts: u32,
 }
 
