dispatch: a job that every agent has returned is offered again after 20 ms, not at once

Cause: when all agents have returned a task, the list of agents to avoid is emptied, and the job is placed again in the same step. Change: it is placed again 20 ms later.

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -19,6 +19,8 @@
 const WARMUP_TIME: Duration = Duration::from_millis(1500);
 /// Shortest sleep before a job is looked at again.
 const MIN_SLEEP: Duration = Duration::from_millis(5);
+/// Pause before a job is offered again to agents that have all returned it.
+const OFFER_INTERVAL: Duration = Duration::from_millis(20);
 /// Part of the caller's time that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 /// A job enters the backlog only if this multiple of its estimate is left after
@@ -50,6 +52,8 @@
     /// agents where a task of this job failed, was lost or did not run; they get no
     /// more of its tasks while another agent is ready
     avoided: Vec<Name>,
+    /// no placement before this
+    next_offer: Uptime,
     /// number of tasks sent to each agent
     sent: HashMap<Name, usize>,
     /// batches with pending tasks
@@ -84,6 +88,7 @@
             tasks: vec![Task::Unplaced(1); count],
             failures: vec![0; count],
             avoided: Vec::new(),
+            next_offer: Uptime::ZERO,
             sent: HashMap::new(),
             placed: Vec::new(),
             started,
@@ -144,7 +149,8 @@
             } else {
                 time_left
             };
-            let limit = limit.max(MIN_SLEEP);
+            let pause = self.next_offer.saturating_sub(uptime());
+            let limit = if pause.is_zero() { limit } else { limit.min(pause) }.max(MIN_SLEEP);
             let ticket = self.ticket.as_ref();
             let cancel = self.cancel.clone();
             let next = async {
@@ -177,8 +183,16 @@
         if unplaced.is_empty() {
             return 0;
         }
-        let (agents, views) = self.agent_views();
         let demand = self.demand(unplaced.len());
+        let agents = self.usable_agents();
+        if self.all_returned(&agents) {
+            self.avoided.clear();
+            self.next_offer = uptime() + OFFER_INTERVAL;
+        }
+        if uptime() < self.next_offer {
+            return demand.count;
+        }
+        let views = self.agent_views(&agents);
         let Some(plan) = self.plan(&views, &demand) else { return demand.count };
         let time_left = self.time_left().unwrap_or_default();
         for assignment in &plan.assignments {
@@ -373,13 +387,14 @@
         false
     }
 
-    /// Agents that may run this job, and their views for the placer.
-    fn agent_views(&mut self) -> (Vec<Rc<Agent>>, Vec<AgentView>) {
-        let agents = self.usable_agents();
+    /// Whether every agent that takes work has returned a task of this job.
+    fn all_returned(&self, agents: &[Rc<Agent>]) -> bool {
         let is_avoided = |a: &Rc<Agent>| self.avoided.contains(&a.name);
-        if agents.iter().all(|a| is_avoided(a) || !a.load().ready) {
-            self.avoided.clear();
-        }
+        !self.avoided.is_empty() && agents.iter().all(|a| is_avoided(a) || !a.load().ready)
+    }
+
+    /// Views of the agents for the placer.
+    fn agent_views(&self, agents: &[Rc<Agent>]) -> Vec<AgentView> {
         let views = agents.iter().map(|a| AgentView {
             load: a.load(),
             unreported: a.unreported(),
@@ -387,8 +402,7 @@
             distance_factor: self.distance_factor(a),
             max_tasks: self.max_tasks(a),
         });
-        let views = views.collect();
-        (agents, views)
+        views.collect()
     }
 
     fn distance_factor(&self, agent: &Agent) -> f64 {
