claim: an expired row or record proves nothing about a key older than it

What callers would see: a call accepted shortly before its key expired (410 from then on) and decided after it, up to its deadline of ten minutes later, started the task a second time, or was answered `not-run` (503) for a task that had run.

Cause: Table dropped the row of a claim after the retention and from then on took its absence for "nobody holds the claim". Likewise a holder that asked again with a higher sequence was taken to have given its claim up, although its record of the run may have expired; the row outlives the record when a new home has adopted it.

Why it works: a row is made no earlier than the key's issue time, less the skew of caller and entry and that of entry and home, and is kept for the retention. So its absence proves something only while the key is younger than that; after it the answer is `unknown`. The record of a run is kept for the retention from its end, which is later than the receipt of its call: while that receipt is within the retention, a holder that asks again still has the record, or never started. A key without an issue time stays safe only within the retention, as documented.

--- a/crates/agent/src/home/claim_server.rs
+++ b/crates/agent/src/home/claim_server.rs
@@ -39,7 +39,7 @@
     /// Returns who holds a claim.
     pub fn look_up(&self, claim: &Claim) -> KeyInfo {
         let tenure = self.homes.tenure(&claim.id, Instant::now());
-        self.table.borrow_mut().look_up(tenure, claim)
+        self.table.borrow_mut().look_up(tenure, claim, self.clock.now())
     }
 
     /// Returns who holds a claim; if nobody does, bars the calls received so far.
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -54,13 +54,15 @@
             return Grant::Barred;
         }
         let skew = self.clock_skew_ms();
+        let forgotten_before = self.forgotten_before(now);
         let mut row = self.current(&claim.id, since);
-        if let Some(grant) = row.as_mut().and_then(|row| row.reclaim(by, &claim)) {
+        if let Some(grant) = row.as_mut().and_then(|row| row.reclaim(by, &claim, forgotten_before))
+        {
             return grant;
         }
         let known_unheld = row.as_ref().is_some_and(|row| row.known_unheld);
         let barred = row.and_then(|row| row.barred_before);
-        if !known_unheld && may_have_run(tenure, &claim) {
+        if !known_unheld && may_have_run(tenure, &claim, forgotten_before) {
             return unknown();
         }
         if received_before(&claim, barred.max(barred_before(tenure)), skew) {
@@ -85,6 +87,7 @@
         now: Now,
     ) -> bool {
         let Tenure::Home { since, .. } = tenure else { return false };
+        let forgotten_before = self.forgotten_before(now);
         match self.current(&claim.id, since) {
             Some(row)
                 if row.holder.as_ref() != Some(by) || row.claim.sequence != claim.sequence =>
@@ -92,7 +95,7 @@
                 return true;
             }
             Some(row) => row.holder = None,
-            None if may_have_run(tenure, claim) => return true,
+            None if may_have_run(tenure, claim, forgotten_before) => return true,
             None => {}
         }
         if release == Release::Bar {
@@ -109,7 +112,7 @@
     /// Looks up who holds the claim, and bars every call received so far if
     /// nobody does.
     pub fn bar(&mut self, tenure: Tenure, claim: Claim, now: Now) -> KeyInfo {
-        let found = self.look_up(tenure, &claim);
+        let found = self.look_up(tenure, &claim, now);
         let Tenure::Home { since, .. } = tenure else { return found };
         if !matches!(found.grant, Grant::Free | Grant::Barred) {
             return found;
@@ -124,9 +127,10 @@
     }
 
     /// Looks up who holds the claim.
-    pub fn look_up(&mut self, tenure: Tenure, claim: &Claim) -> KeyInfo {
+    pub fn look_up(&mut self, tenure: Tenure, claim: &Claim, now: Now) -> KeyInfo {
         let Tenure::Home { since, .. } = tenure else { return without_count(not_home(tenure)) };
         let skew = self.clock_skew_ms();
+        let forgotten_before = self.forgotten_before(now);
         let row = self.current(&claim.id, since);
         let count = row.as_ref().map(|row| row.claim.task_count);
         if let Some(grant) = row.as_ref().and_then(|row| row.held_grant(claim.digest)) {
@@ -134,7 +138,7 @@
         }
         let known_unheld = row.as_ref().is_some_and(|row| row.known_unheld);
         let barred = row.and_then(|row| row.barred_before);
-        if !known_unheld && may_have_run(tenure, claim) {
+        if !known_unheld && may_have_run(tenure, claim, forgotten_before) {
             return without_count(unknown());
         }
         if received_before(claim, barred.max(barred_before(tenure)), skew) {
@@ -221,6 +225,14 @@
         claim.received_ms.saturating_add(longest) < now.wall_ms
     }
 
+    /// A task that was claimed before this unix time, in milliseconds, may have run
+    /// without a trace: its row, and its executor's record, may have expired. The
+    /// clocks of home and entry differ, and so may those of entry and caller.
+    fn forgotten_before(&self, now: Now) -> u64 {
+        let retention_ms = self.limits.retention.as_millis() as u64;
+        (now.wall_ms + 2 * self.clock_skew_ms()).saturating_sub(retention_ms)
+    }
+
     /// Whether another row would use the last `reserve_percent` of the capacity.
     fn is_full(&self, claim: &Claim, reserve_percent: usize) -> bool {
         let capacity = |all: usize| all - all * reserve_percent / 100;
@@ -266,8 +278,9 @@
 
 impl Row {
     /// Reply to an executor that requests a claim that may be held. `None` if it is
-    /// free: a holder whose request has a higher sequence gave the claim up before.
-    fn reclaim(&mut self, by: &Holder, claim: &Claim) -> Option<Grant> {
+    /// free: a holder whose request has a higher sequence gave the claim up before,
+    /// unless its record of the run may have expired.
+    fn reclaim(&mut self, by: &Holder, claim: &Claim, forgotten_before: u64) -> Option<Grant> {
         let holder = self.holder.as_ref()?;
         if self.claim.digest != claim.digest {
             return Some(Grant::Conflict);
@@ -278,6 +291,7 @@
         match claim.sequence.cmp(&self.claim.sequence) {
             Ordering::Less => Some(Grant::Barred),
             Ordering::Equal => Some(Grant::Granted),
+            Ordering::Greater if self.claim.received_ms < forgotten_before => Some(unknown()),
             Ordering::Greater => {
                 self.holder = None;
                 self.known_unheld = true;
@@ -308,11 +322,15 @@
     }
 }
 
-/// Whether an agent whose records are lost may have run the task: its key was
-/// issued before that loss, or it is not known when.
-fn may_have_run(tenure: Tenure, claim: &Claim) -> bool {
-    let Tenure::Home { unknown_before: Some(before), .. } = tenure else { return false };
-    claim.issued_ms.is_none_or(|issued| issued < before)
+/// Whether a task without a row may have run: its key was issued before its row
+/// could have expired, or before its executor and an earlier home were lost. A key
+/// without an issue time counts as issued before every loss, and after all expiry.
+fn may_have_run(tenure: Tenure, claim: &Claim, forgotten_before: u64) -> bool {
+    let Tenure::Home { unknown_before, .. } = tenure else { return false };
+    match claim.issued_ms {
+        Some(issued) => issued < unknown_before.unwrap_or(0).max(forgotten_before),
+        None => unknown_before.is_some(),
+    }
 }
 
 fn barred_before(tenure: Tenure) -> Option<u64> {
@@ -332,7 +350,7 @@
 }
 
 fn unknown() -> Grant {
-    Grant::Unknown("the agents that knew the key were lost".into())
+    Grant::Unknown("the agents that knew the key were lost, or have forgotten it".into())
 }
 
 fn without_count(grant: Grant) -> KeyInfo {
--- a/crates/claim/tests/limits.rs
+++ b/crates/claim/tests/limits.rs
@@ -126,6 +126,6 @@
         let it = claim(1, at(0));
         assert!(!table.release(away, &executor("a"), &it, Release::Bar, at(0)));
         assert!(table.release(HOME, &executor("a"), &it, Release::Bar, at(0)));
-        assert_eq!(table.look_up(HOME, &it).grant, Grant::Barred);
+        assert_eq!(table.look_up(HOME, &it, at(0)).grant, Grant::Barred);
     }
 }
--- a/crates/claim/tests/schedules.rs
+++ b/crates/claim/tests/schedules.rs
@@ -278,8 +278,8 @@
                 }
             }
             Message::LookUp { call, step } => {
-                let claim = self.claim_of(call);
-                let found = self.table.look_up(self.tenure(), &claim);
+                let (claim, now) = (self.claim_of(call), self.now());
+                let found = self.table.look_up(self.tenure(), &claim, now);
                 self.reply(call, step, CallEvent::LookUpReply(found.grant));
             }
             Message::Bar { call, step } => {
