claim: a claim that arrives too late is not answered by its age alone

What callers would see: `not-run` (503) for a key whose task had run. A claim request that reached the home more than max_call_time after its call (an entry or an executor suspended, an offer delayed for long, an entry whose clock is behind) got `Barred` before the home had looked for its row, and the executor passes `Barred` on as the final `not-run`.

Cause: Table::claim took the age of the claim for a refusal. Age shows that the claim must not be granted; it doesn't show that nothing ran.

Why it works: the row is read first, so a held claim is answered `Held` and a bar `Barred`. Without either the late claim gets `unknown`, which starts nothing and promises nothing. A release that late leaves no bar in place of a row that has expired either.

--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -50,9 +50,6 @@
     /// Grants the claim to the first executor that requests it.
     pub fn claim(&mut self, tenure: Tenure, by: &Holder, claim: Claim, now: Now) -> Grant {
         let Tenure::Home { since, .. } = tenure else { return not_home(tenure) };
-        if self.is_stale(&claim, now) {
-            return Grant::Barred;
-        }
         let skew = self.clock_skew_ms();
         let forgotten_before = self.forgotten_before(now);
         let mut row = self.current(&claim.id, since);
@@ -68,6 +65,9 @@
         if received_before(&claim, barred.max(barred_before(tenure)), skew) {
             return Grant::Barred;
         }
+        if self.is_stale(&claim, now) {
+            return unknown();
+        }
         if self.is_full(&claim, BAR_RESERVE_PERCENT) {
             return Grant::Full;
         }
@@ -87,7 +87,8 @@
         now: Now,
     ) -> bool {
         let Tenure::Home { since, .. } = tenure else { return false };
-        let forgotten_before = self.forgotten_before(now);
+        let forgotten =
+            may_have_run(tenure, claim, self.forgotten_before(now)) || self.is_stale(claim, now);
         match self.current(&claim.id, since) {
             Some(row)
                 if row.holder.as_ref() != Some(by) || row.claim.sequence != claim.sequence =>
@@ -95,7 +96,7 @@
                 return true;
             }
             Some(row) => row.holder = None,
-            None if may_have_run(tenure, claim, forgotten_before) => return true,
+            None if forgotten => return true,
             None => {}
         }
         if release == Release::Bar {
--- a/crates/claim/tests/not_run.rs
+++ b/crates/claim/tests/not_run.rs
@@ -84,6 +84,20 @@
         assert_eq!(again, Grant::Granted);
     }
 
+    a_late_claim_of_a_task_that_another_call_started_is_not_answered_barred(table) {
+        assert_eq!(table.claim(HOME, &executor("a"), claim(0, 1), at(0)), Grant::Granted);
+        let grant = table.claim(HOME, &executor("b"), claim(1, 1), at(700));
+        assert_eq!(grant, Grant::Held(executor("a")));
+    }
+
+    a_late_claim_of_an_unknown_key_is_not_answered_barred(table) {
+        let first = without_issue_time(claim(0, 1));
+        assert_eq!(table.claim(HOME, &executor("a"), first, at(0)), Grant::Granted);
+        table.expire(at(905));
+        let grant = table.claim(HOME, &executor("b"), without_issue_time(claim(1, 1)), at(905));
+        assert!(is_unknown(&grant), "{grant:?}");
+    }
+
     a_release_of_an_expired_claim_leaves_no_bar_behind(table) {
         let old = claim(0, 1);
         assert!(table.release(HOME, &executor("a"), &old, Release::Bar, at(905)));
