entry: a status takes only the home's word that a task was not started

What callers would see: state `unseen` ("not started") for a task that had run, from GET status and POST cancel, after its agent was restarted: until the new process's first heartbeat to that entry, and for as long as none arrives. A caller who trusts it and sends the work under a new key runs it twice. An executor whose record had expired gave the same.

Cause: the home names the holder of the claim, the entry asks that agent, and `unseen` from it was taken to mean that it had just given the task up. A process without memory says the same, and the entry can't tell them apart by the incarnation, since it is the last one that it heard of.

Evidence, crates/e2e/tests/not_run.rs, an_agent_restarted_without_memory_does_not_make_a_status_unseen. Before: counts unseen: 1, state "unseen"; left: "unseen", right: "unknown" After: passes, with status and cancel `unknown`; e2e claims (14), operators (10) and the tests of entry pass.

Why it works: when the holder has no record the home is asked again. If the task was given up, the release reaches the home, which then answers `unseen` or `not-run` by itself; if it keeps naming the holder, the state is `unknown` after five attempts, as cancel did before for a holder that gave the task up.

--- a/crates/entry/src/call/keys.rs
+++ b/crates/entry/src/call/keys.rs
@@ -15,8 +15,8 @@
 /// Tasks of one key that are queried at once.
 const MAX_CONCURRENT_QUERIES: usize = 64;
 /// Attempts until the home knows that the holder has given the task up.
-const MAX_CANCEL_ATTEMPTS: u32 = 5;
-const CANCEL_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_ATTEMPTS: u32 = 5;
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const AGENT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A key of a team at a service.
@@ -75,24 +75,32 @@
     async fn task_status(&self, key: &Key, index: u32) -> (KeyState, Option<u32>) {
         // a bar applies to calls received before it: 0 finds any bar
         let claim = Claim { received_ms: 0, ..key.claim(index) };
-        let Some(KeyInfo { grant, task_count }) =
-            self.query_home(&key.service, &claim, HomeQuery::LookUp).await
-        else {
-            return (home_unreachable(), None);
-        };
-        let state = match grant {
-            Grant::Held(holder) => self.query_state(&holder, &claim.id).await,
-            Grant::Free => KeyState::Unseen,
-            Grant::Barred => KeyState::NotRun,
-            other => indeterminate(other),
-        };
-        (state, task_count)
+        let mut known = None;
+        for _ in 0..MAX_ATTEMPTS {
+            let Some(KeyInfo { grant, task_count }) =
+                self.query_home(&key.service, &claim, HomeQuery::LookUp).await
+            else {
+                return (home_unreachable(), known);
+            };
+            known = known.or(task_count);
+            let holder = match grant {
+                Grant::Held(holder) => holder,
+                Grant::Free => return (KeyState::Unseen, known),
+                Grant::Barred => return (KeyState::NotRun, known),
+                other => return (indeterminate(other), known),
+            };
+            if let Some(state) = self.query_state(&holder, &claim.id).await {
+                return (state, known);
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        (not_released(), known)
     }
 
     async fn cancel_task(&self, key: &Key, index: u32) -> (KeyState, Option<u32>) {
         let claim = key.claim(index);
         let mut known = None;
-        for _ in 0..MAX_CANCEL_ATTEMPTS {
+        for _ in 0..MAX_ATTEMPTS {
             let Some(KeyInfo { grant, task_count }) =
                 self.query_home(&key.service, &claim, HomeQuery::Bar).await
             else {
@@ -104,12 +112,14 @@
                 Grant::Barred => return (KeyState::NotRun, known),
                 other => return (indeterminate(other), known),
             };
-            if !self.cancel_at(&holder, &claim.id).await {
-                return (self.query_state(&holder, &claim.id).await, known);
+            if !self.cancel_at(&holder, &claim.id).await
+                && let Some(state) = self.query_state(&holder, &claim.id).await
+            {
+                return (state, known);
             }
-            sleep(CANCEL_RETRY_INTERVAL).await;
+            sleep(RETRY_INTERVAL).await;
         }
-        (KeyState::Unknown("the home has not heard of it yet: ask for the status".into()), known)
+        (not_released(), known)
     }
 
     /// Asks the holder of a claim to give the task up if it has not started; true
@@ -124,8 +134,12 @@
         stopped.is_ok_and(|stopped| stopped.len() == 1 && stopped.get(0))
     }
 
-    async fn query_state(&self, holder: &Holder, id: &TaskId) -> KeyState {
-        let lost = || KeyState::Unknown(format!("agent {} can't be asked", holder.name).into());
+    /// Asks the holder of a claim for the progress of the task; `None` if it has no
+    /// record of it or has given it up. Only the home tells what follows from that:
+    /// the process asked may be a later one without the holder's memory.
+    async fn query_state(&self, holder: &Holder, id: &TaskId) -> Option<KeyState> {
+        let lost =
+            || Some(KeyState::Unknown(format!("agent {} can't be asked", holder.name).into()));
         let Some(agent) = self.agent(holder).await else { return lost() };
         let mut req = agent.status_request();
         Method::Status.record_call();
@@ -133,16 +147,15 @@
         let Ok(Ok(res)) = timeout(AGENT_TIMEOUT, req.send().promise).await else { return lost() };
         let Ok(res) = res.get() else { return lost() };
         match res.get_stage() {
-            Ok(Stage::Queued) => KeyState::Queued,
-            Ok(Stage::Running) => KeyState::Running,
+            Ok(Stage::Queued) => Some(KeyState::Queued),
+            Ok(Stage::Running) => Some(KeyState::Running),
             Ok(Stage::Over) => {
                 match res.get_reply().map_err(wire::Error::from).and_then(read_reply) {
-                    Ok(Reply::Answer(answer)) => KeyState::Finished(answer),
+                    Ok(Reply::Answer(answer)) => Some(KeyState::Finished(answer)),
                     _ => lost(),
                 }
             }
-            // the agent holds the claim and has just given the task up
-            Ok(Stage::Unseen) => KeyState::Unseen,
+            Ok(Stage::Unseen) => None,
             Err(_) => lost(),
         }
     }
@@ -174,6 +187,10 @@
     KeyState::Unknown("the home of the key can't be asked".into())
 }
 
+fn not_released() -> KeyState {
+    KeyState::Unknown("its agent doesn't know it, and its home has not heard why: ask again".into())
+}
+
 fn indeterminate(grant: Grant) -> KeyState {
     match grant {
         Grant::Unknown(reason) => KeyState::Unknown(reason),
