entry: the state of a job is not concluded from its first task alone

What callers would see: state `not-run` with one task counted, for a job of eight of whose tasks four had run and ended; CALLERS sends callers of an `unknown` job to its status. POST cancel said the same.

Cause: the home of the first task tells how many tasks a key has. When it has no row (its first task was never claimed, say because its home died before the job, and the new home starts empty) the key was taken for one task.

Evidence, crates/e2e/tests/not_run.rs, a_lost_home_of_the_first_task_does_not_make_a_started_job_not_run. Before: counts not-run: 1, done: 0, state "not-run"; left: 0, right: 4 After: passes; e2e claims (14), operators (10), submissions (4), callers (2) and the tests of entry pass.

Why it works: every row of a job has the number of its tasks, so the homes of the other tasks are asked until one has a row; none may be missing, else the state is `unknown`.

--- a/crates/e2e/tests/not_run.rs
+++ b/crates/e2e/tests/not_run.rs
@@ -6,7 +6,7 @@
 use actix_web::rt::time::sleep;
 use e2e::{Deployment, Response, free_port};
 use futures::future::join;
-use serde_json::json;
+use serde_json::{Value, json};
 
 macro_rules! on_settled_roster {
     ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
@@ -20,6 +20,11 @@
     };
 }
 
+fn job(key: &str, count: usize) -> Value {
+    let tasks = vec![json!({"body": {"run_ms": 1}}); count];
+    json!({"team": "coop", "key": key, "deadline_ms": 1200, "tasks": tasks})
+}
+
 async fn cancel(it: &Deployment, key: &str) -> Response {
     it.send(0, "cancel", &json!({"team": "coop", "key": key})).await
 }
@@ -58,4 +63,19 @@
         let cancelled = cancel(&it, "k").await;
         assert_eq!(cancelled.body["state"], "unknown", "{:?}", cancelled.body);
     }
+
+    a_lost_home_of_the_first_task_does_not_make_a_started_job_not_run(it, 1, 4) {
+        let key = it.key_with_home(0, &[0, 1, 2, 3], "job");
+        it.agents[0].kill();
+        let res = it.send(0, "job", &job(&key, 8)).await;
+        assert_eq!(res.outcome(), "unknown", "{:?}", res.body);
+        let started = it.starts().await.len();
+        assert!(started > 0);
+        it.wait_settled(&[1, 2, 3], 0).await;
+        let status = it.status(0, &key).await;
+        assert_eq!(status.body["counts"]["done"], started, "{:?}", status.body);
+        let cancelled = cancel(&it, &key).await;
+        assert_eq!(cancelled.body["counts"]["done"], started, "{:?}", cancelled.body);
+        assert_ne!(cancelled.body["state"], "not-run");
+    }
 }
--- a/crates/entry/src/call/keys.rs
+++ b/crates/entry/src/call/keys.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use base::{Answer, Digest, Name, TaskId, now_ms};
 use claim::{Claim, Grant, Holder, KeyInfo};
@@ -12,6 +12,9 @@
 
 use super::{dispatcher::Dispatcher, home::HomeQuery};
 
+/// Most tasks of one key.
+pub const MAX_TASKS: u32 = 750;
+
 /// Tasks of one key that are queried at once.
 const MAX_CONCURRENT_QUERIES: usize = 64;
 /// Attempts until the home knows that the holder has given the task up.
@@ -51,30 +54,57 @@
 impl Dispatcher {
     /// Queries the progress of the tasks of a key.
     pub async fn status(&self, key: &Key) -> KeyStatus {
-        self.for_each_task(|index| self.task_status(key, index)).await
+        self.for_each_task(key, |index| self.task_status(key, index)).await
     }
 
     /// Cancels the tasks of a key that have not started.
     pub async fn cancel(&self, key: &Key) -> KeyStatus {
-        self.for_each_task(|index| self.cancel_task(key, index)).await
+        self.for_each_task(key, |index| self.cancel_task(key, index)).await
     }
 
-    /// Runs a query for every task of a key; the home of the first task knows how
-    /// many there are.
-    async fn for_each_task<F>(&self, query: impl Fn(u32) -> F) -> KeyStatus
+    /// Runs a query for every task of a key.
+    async fn for_each_task<F>(&self, key: &Key, query: impl Fn(u32) -> F) -> KeyStatus
     where
         F: Future<Output = (KeyState, Option<u32>)>,
     {
         let (first, count) = query(0).await;
-        let rest = stream::iter(1..count.unwrap_or(1)).map(&query).buffered(MAX_CONCURRENT_QUERIES);
+        let is_unknown = matches!(first, KeyState::Unknown(_));
         let mut tasks = vec![first];
+        let count = match count {
+            None if is_unknown => return KeyStatus { tasks },
+            None => self.find_task_count(key).await,
+            known => known,
+        };
+        let Some(count) = count else {
+            tasks.push(KeyState::Unknown("the number of its tasks can't be determined".into()));
+            return KeyStatus { tasks };
+        };
+        let rest = stream::iter(1..count).map(&query).buffered(MAX_CONCURRENT_QUERIES);
         tasks.extend(rest.map(|(state, _)| state).collect::<Vec<_>>().await);
         KeyStatus { tasks }
     }
 
+    /// Number of tasks of a key whose first task is unknown to its home: any other
+    /// task may have been claimed. `None` if a home can't tell.
+    async fn find_task_count(&self, key: &Key) -> Option<u32> {
+        let look_up = async |index| {
+            let claim = key.any_claim(index);
+            self.query_home(&key.service, &claim, HomeQuery::LookUp).await
+        };
+        let found = stream::iter(1..MAX_TASKS).map(look_up).buffered(MAX_CONCURRENT_QUERIES);
+        let mut found = pin!(found);
+        while let Some(info) = found.next().await {
+            match info? {
+                KeyInfo { task_count: Some(count), .. } => return Some(count),
+                KeyInfo { grant: Grant::Free | Grant::Barred, .. } => {}
+                _ => return None,
+            }
+        }
+        Some(1)
+    }
+
     async fn task_status(&self, key: &Key, index: u32) -> (KeyState, Option<u32>) {
-        // a bar applies to calls received before it: 0 finds any bar
-        let claim = Claim { received_ms: 0, ..key.claim(index) };
+        let claim = key.any_claim(index);
         let mut known = None;
         for _ in 0..MAX_ATTEMPTS {
             let Some(KeyInfo { grant, task_count }) =
@@ -171,6 +201,12 @@
 }
 
 impl Key {
+    /// Claim to look up a task with. A bar applies to calls received before it, so
+    /// that 0 finds any bar.
+    fn any_claim(&self, index: u32) -> Claim {
+        Claim { received_ms: 0, ..self.claim(index) }
+    }
+
     fn claim(&self, index: u32) -> Claim {
         Claim {
             id: TaskId::new(self.team.clone(), self.key.clone(), index),
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -12,4 +12,4 @@
 
 pub use admission::AdmissionControl;
 pub use dispatcher::{Dispatcher, Error};
-pub use keys::{Key, KeyState, KeyStatus};
+pub use keys::{Key, KeyState, KeyStatus, MAX_TASKS};
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -1,6 +1,8 @@
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use serde::Serialize;
 
+use crate::call::MAX_TASKS;
+
 /// Why a request is refused before any of it starts.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -38,9 +40,6 @@
 
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Most tasks of one job.
-pub const MAX_TASKS: usize = 750;
-
 /// Response extension that marks a refusal, for the metrics.
 #[derive(Clone, Copy, Debug)]
 pub struct RefusalCode(pub &'static str);
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -10,10 +10,14 @@
 use super::{
     answer::{AnswerBody, Content, respond},
     body::Body,
-    error::{Error, MAX_TASKS, Result},
+    error::{Error, Result},
     submission::{Submission, SubmissionParams, TaskBody, parse},
 };
-use crate::{app::SharedState, call::Dispatcher, metrics::SubmissionKind};
+use crate::{
+    app::SharedState,
+    call::{Dispatcher, MAX_TASKS},
+    metrics::SubmissionKind,
+};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -37,7 +41,7 @@
 ) -> Result<HttpResponse> {
     let job: JobBody = parse(&body.0)?;
     let count = job.tasks.len();
-    if count == 0 || count > MAX_TASKS {
+    if count == 0 || count > MAX_TASKS as usize {
         return Err(Error::TaskCount(count));
     }
     let params = SubmissionParams {
