--- a/crates/e2e/tests/not_run.rs
+++ b/crates/e2e/tests/not_run.rs
@@ -12,6 +12,7 @@
     ($($name:ident($deployment:ident, $entries:literal, $agents:literal) $body:block)*) => {
         $(#[actix_web::test]
         async fn $name() {
+            #[allow(unused_mut)]
             let mut $deployment = Deployment::start($entries, $agents).await;
             let all: Vec<_> = (0..$agents).collect();
             $deployment.wait_settled(&all, 0).await;
@@ -78,4 +79,15 @@
         assert_eq!(cancelled.body["counts"]["done"], started, "{:?}", cancelled.body);
         assert_ne!(cancelled.body["state"], "not-run");
     }
+
+    an_answer_without_a_key_of_the_caller_names_none_that_is_unseen(it, 1, 2) {
+        let body = json!({"team": "coop", "body": {"run_ms": 1}});
+        let job = json!({"team": "coop", "tasks": [{"body": {"run_ms": 1}}]});
+        for (kind, body) in [("request", body), ("job", job)] {
+            let res = it.send(0, kind, &body).await;
+            assert_eq!(res.outcome(), "done", "{:?}", res.body);
+            let status = it.status(0, res.body["key"].as_str().unwrap_or("none")).await;
+            assert_eq!(res.body.get("key"), None, "{kind}: its status is {:?}", status.body);
+        }
+    }
 }
