entry: a job with an unseen task is not reported as not-run

What callers would see: state `not-run` for a job of which one task was refused for good and another was on its way to an agent (its queue given up by a backend server that left, or its first offer declined); that one then ran.

Cause: the state of a key was `not-run` by default, when its tasks were partly refused and partly unseen. Unseen is the absence of a claim and no refusal.

Evidence, crates/entry/tests/key_status.rs, a_refused_task_does_not_make_an_unseen_one_not_run.

Why it works: `not-run` is now the state only if every task is; the weaker `unseen` is the default. The states move to a file of their own, so that they can be tested, and KeyState tells what each of them covers in time.

--- a/crates/entry/src/call/keys.rs
+++ b/crates/entry/src/call/keys.rs
@@ -1,6 +1,6 @@
 use std::{pin::pin, time::Duration};
 
-use base::{Answer, Digest, Name, TaskId, now_ms};
+use base::{Digest, Name, TaskId, now_ms};
 use claim::{Claim, Grant, Holder, KeyInfo};
 use futures::{StreamExt, stream};
 use tokio::time::{sleep, timeout};
@@ -10,7 +10,11 @@
     read_reply, write_id,
 };
 
-use super::{dispatcher::Dispatcher, home::HomeQuery};
+use super::{
+    dispatcher::Dispatcher,
+    home::HomeQuery,
+    key_status::{KeyState, KeyStatus},
+};
 
 /// Most tasks of one key.
 pub const MAX_TASKS: u32 = 750;
@@ -32,25 +36,6 @@
     pub issued_ms: Option<u64>,
 }
 
-/// Progress of one task of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeyState {
-    /// not started, and no agent is about to start it
-    Unseen,
-    Queued,
-    Running,
-    Finished(Answer),
-    /// it did not run, and no call received so far will start it
-    NotRun,
-    /// can't be determined, with the reason
-    Unknown(Name),
-}
-
-/// Progress of the tasks of a key, in order.
-pub struct KeyStatus {
-    pub tasks: Vec<KeyState>,
-}
-
 impl Dispatcher {
     /// Queries the progress of the tasks of a key.
     pub async fn status(&self, key: &Key) -> KeyStatus {
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -7,9 +7,11 @@
 mod chooser;
 mod dispatcher;
 mod home;
+mod key_status;
 mod keyed_call;
 mod keys;
 
 pub use admission::AdmissionControl;
 pub use dispatcher::{Dispatcher, Error};
-pub use keys::{Key, KeyState, KeyStatus, MAX_TASKS};
+pub use key_status::{Counts, KeyState, KeyStatus};
+pub use keys::{Key, MAX_TASKS};
--- a/crates/entry/src/http/key.rs
+++ b/crates/entry/src/http/key.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     app::SharedState,
-    call::{Dispatcher, Key, KeyState, KeyStatus},
+    call::{Counts, Dispatcher, Key, KeyState, KeyStatus},
 };
 
 // serde puts the name of the type into error messages that callers see
@@ -33,19 +33,6 @@
     reason: Option<&'a str>,
 }
 
-/// Tasks of a key by state.
-#[derive(Default, Serialize)]
-#[serde(rename_all = "kebab-case")]
-struct Counts {
-    unseen: usize,
-    queued: usize,
-    running: usize,
-    done: usize,
-    failed: usize,
-    not_run: usize,
-    unknown: usize,
-}
-
 /// Responds with the progress of the tasks of a key.
 pub async fn status(
     shared: Data<SharedState>,
@@ -81,57 +68,11 @@
 }
 
 fn respond(key: &Key, key_status: &KeyStatus) -> HttpResponse {
-    let counts = count(&key_status.tasks);
     let reason = key_status.tasks.iter().find_map(|state| match state {
         KeyState::Unknown(reason) => Some(&**reason),
         KeyState::Finished(answer) if answer.outcome != Outcome::Done => Some(&*answer.reason),
         _ => None,
     });
-    let state = overall_state(&counts, key_status.tasks.len());
+    let (state, counts) = (key_status.state(), key_status.counts());
     HttpResponse::Ok().json(Status { key: &key.key, state, counts, reason })
 }
-
-fn count(tasks: &[KeyState]) -> Counts {
-    let mut counts = Counts::default();
-    for state in tasks {
-        let counter = match state {
-            KeyState::Unseen => &mut counts.unseen,
-            KeyState::Queued => &mut counts.queued,
-            KeyState::Running => &mut counts.running,
-            KeyState::NotRun => &mut counts.not_run,
-            KeyState::Unknown(_) => &mut counts.unknown,
-            KeyState::Finished(answer) => match answer.outcome {
-                Outcome::Done => &mut counts.done,
-                Outcome::Failed => &mut counts.failed,
-                Outcome::NotRun => &mut counts.unseen,
-                Outcome::Unknown => &mut counts.unknown,
-            },
-        };
-        *counter += 1;
-    }
-    counts
-}
-
-/// State of the whole key; states that decide its answer take precedence.
-fn overall_state(counts: &Counts, total: usize) -> &'static str {
-    let Counts { unseen, queued, running, done, failed, not_run, unknown } = *counts;
-    if failed > 0 {
-        return "failed";
-    }
-    if unknown > 0 {
-        return "unknown";
-    }
-    if done == total {
-        return "done";
-    }
-    if not_run == total {
-        return "not-run";
-    }
-    if unseen == total {
-        return "unseen";
-    }
-    if running + done > 0 {
-        return "running";
-    }
-    if queued > 0 { "queued" } else { "not-run" }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,5 +10,6 @@
 mod rpc;
 
 pub use app::run;
+pub use call::{KeyState, KeyStatus};
 pub use counts::{CountWriter, SharedCounts};
 pub use fleet::{Agents, Endpoints, EntryList, Registrar, Rosters};
