entry: key-expired says that the key may have run

What callers would see: 410 "is no longer remembered: use a new key", under the heading "refused before anything starts", for a key that had run. A caller who follows it runs the work twice.

Cause: the refusal is right for this call, but nothing is known of the key any more, and the text and CALLERS told what to do as if it had not run.

Evidence, crates/e2e/tests/not_run.rs, an_expired_key_is_not_said_to_be_safe_to_replace.

--- a/crates/e2e/tests/not_run.rs
+++ b/crates/e2e/tests/not_run.rs
@@ -90,4 +90,12 @@
             assert_eq!(res.body.get("key"), None, "{kind}: its status is {:?}", status.body);
         }
     }
+
+    an_expired_key_is_not_said_to_be_safe_to_replace(it, 1, 1) {
+        let issued = base::now_ms() - 3_600_000;
+        let body = json!({"team": "coop", "key": "old", "issued_ms": issued, "body": {}});
+        let res = it.send(0, "request", &body).await;
+        let message = res.body["error"]["message"].as_str().unwrap_or_default();
+        assert!(res.status == 410 && message.contains("may have run"), "{:?}", res.body);
+    }
 }
--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -18,7 +18,9 @@
     UnknownTeam(String),
     #[error("the deadline has passed: give a deadline_ms of at least 1")]
     DeadlinePassed,
-    #[error("the key was issued more than {0} ms ago and is no longer remembered: use a new key")]
+    #[error(
+        "the key is older than keys are kept ({0} ms) and may have run: a new one may run twice"
+    )]
     KeyExpired(u64),
     #[error("the job has {0} tasks: send 1 to {MAX_TASKS}, and split a larger job")]
     TaskCount(usize),
