agent: a new home never takes the end of the pages for the end of the records

What callers would see: a second start, or `not-run` for a task that had run, after a change of the roster that moved more than 2,000 claims to one home while a member was suspended for longer than a reply is waited for, or was restarted in the middle of the handover.

Cause: pages were taken from one list per home as they were asked for, and an empty list, or none, was answered "no more". A home repeats its collection every heartbeat_ms and waits lease_ms for a page, so collections overlap: a page answered to one that had ended was missing from the other, which still came to the end. A restarted process had no list, and so no more pages.

Why it works: the records are kept for one incarnation of a home and one epoch until the roster is settled, pages are numbered, and asking for one that isn't stored is an error, after which the home starts over. A repeated collection gets the same records: once a member has promised the epoch it neither grants nor requests claims of the keys that move.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,3 +12,4 @@
 mod run;
 
 pub use app::run;
+pub use peers::Pages;
--- a/crates/agent/src/peers/effects.rs
+++ b/crates/agent/src/peers/effects.rs
@@ -144,6 +144,7 @@
     }
 
     fn drop_moved_claims(&self) {
+        self.pages.borrow_mut().clear();
         let membership = self.membership.borrow();
         let roster = membership.roster();
         let names: Vec<_> = roster.members.iter().map(|m| &*m.name).collect();
--- a/crates/agent/src/peers/mod.rs
+++ b/crates/agent/src/peers/mod.rs
@@ -7,4 +7,5 @@
 mod pages;
 mod state;
 
+pub use pages::Pages;
 pub use state::{Peers, Stores};
--- a/crates/agent/src/peers/state.rs
+++ b/crates/agent/src/peers/state.rs
@@ -97,11 +97,11 @@
         roster: Roster,
         page: u32,
     ) -> Option<(Vec<Record>, bool)> {
+        let epoch = roster.epoch;
         if page == 0 {
-            let records = self.begin_handover(&home, roster).await?;
-            self.pages.borrow_mut().put(home.name.clone(), records);
+            self.begin_handover(&home, roster).await?;
         }
-        Some(self.pages.borrow_mut().next_page(&home.name))
+        self.pages.borrow().page(&home, epoch, page)
     }
 
     /// Document of the roster known to this agent.
@@ -135,7 +135,7 @@
         }
     }
 
-    async fn begin_handover(self: &Rc<Self>, home: &Member, roster: Roster) -> Option<Vec<Record>> {
+    async fn begin_handover(self: &Rc<Self>, home: &Member, roster: Roster) -> Option<()> {
         let stores = self.stores.get()?;
         let (handover, effects) = self.membership.borrow_mut().on_collect(home, &roster, now());
         let mut records = Vec::new();
@@ -149,9 +149,14 @@
         if handover == Handover::Refuse {
             return None;
         }
+        let epoch = roster.epoch;
+        if self.pages.borrow().contains(home, epoch) {
+            return Some(());
+        }
         let request = HandOver { roster, home: home.clone() };
         records.extend(stores.runner.send(request).await.ok()?);
-        Some(records)
+        self.pages.borrow_mut().put(home, epoch, records);
+        Some(())
     }
 
     fn log_status(&self) {
