agent: a bar is reported for longer than a refused call can be granted

What callers would see: a call answered `not-run` by its executor while the home was silent, and started ten minutes later by a copy of it that was delayed in flight for as long.

Cause: the executor gave up reporting the bar after 300 attempts, at least 593 s if each fails at once, as no longer of interest; the home grants a call up to 660 s after its receipt (max_call_time), and the skew of the clocks.

Evidence: an assertion at compile time next to the numbers. Before: error[E0080]: evaluation panicked: assertion failed: (MAX_RELEASE_ATTEMPTS - SHORT_BACKOFFS) as u64 * MAX_RELEASE_BACKOFF ... After, with 400 attempts (790 s): compiles; the tests of agent pass.

Why it works: when the executor gives up, the calls that the bar refuses are too old for the home to grant, and a late claim is answered `unknown`.

--- a/crates/agent/src/home/claim_client.rs
+++ b/crates/agent/src/home/claim_client.rs
@@ -16,7 +16,7 @@
 };
 use wire::{LinkPool, Method, read_grant, write_claim, write_member};
 
-use super::ClaimServer;
+use super::{ClaimServer, clock::MAX_CALL_TIME};
 
 /// Longest wait for the home's answer to a claim request.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,7 +24,16 @@
 const MIN_RELEASE_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_RELEASE_BACKOFF: Duration = Duration::from_secs(2);
 /// A release that no home has confirmed by then no longer matters.
-const MAX_RELEASE_ATTEMPTS: u32 = 300;
+const MAX_RELEASE_ATTEMPTS: u32 = 400;
+/// Attempts with a shorter backoff than the longest.
+const SHORT_BACKOFFS: u32 = 5;
+/// Largest `skew_ms` for which the next holds.
+const MAX_SKEW: Duration = Duration::from_secs(30);
+// a bar is given up only when the calls it refuses are too old to be granted
+const _: () = assert!(
+    (MAX_RELEASE_ATTEMPTS - SHORT_BACKOFFS) as u64 * MAX_RELEASE_BACKOFF.as_secs()
+        > MAX_CALL_TIME.as_secs() + 2 * MAX_SKEW.as_secs()
+);
 
 /// Requests claims from the homes of keys; requests to one home are batched.
 #[derive(Clone)]
--- a/crates/agent/src/home/clock.rs
+++ b/crates/agent/src/home/clock.rs
@@ -5,7 +5,7 @@
 use conf::AgentSettings;
 
 /// Longest deadline of a call, plus an allowance for slow links.
-const MAX_CALL_TIME: Duration = Duration::from_secs(660);
+pub const MAX_CALL_TIME: Duration = Duration::from_secs(660);
 
 /// Monotonic and wall clock of this process.
 #[derive(Clone, Copy, Debug)]
