--- a/crates/entry/src/http/error.rs
+++ b/crates/entry/src/http/error.rs
@@ -1,6 +1,8 @@
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use serde::Serialize;
 
+use crate::call::MAX_TASKS;
+
 /// Why a request is refused before any of it starts.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -16,7 +18,9 @@
     UnknownTeam(String),
     #[error("the deadline has passed: give a deadline_ms of at least 1")]
     DeadlinePassed,
-    #[error("the key was issued more than {0} ms ago and is no longer remembered: use a new key")]
+    #[error(
+        "the key is older than keys are kept ({0} ms) and may have run: a new one may run twice"
+    )]
     KeyExpired(u64),
     #[error("the job has {0} tasks: send 1 to {MAX_TASKS}, and split a larger job")]
     TaskCount(usize),
@@ -38,9 +42,6 @@
 
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Most tasks of one job.
-pub const MAX_TASKS: usize = 750;
-
 /// Response extension that marks a refusal, for the metrics.
 #[derive(Clone, Copy, Debug)]
 pub struct RefusalCode(pub &'static str);
