--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -9,9 +9,7 @@
 #[derive(Serialize)]
 pub struct AnswerBody<'a> {
     pub outcome: Outcome,
-    /// as the caller gave it; a submission without one can't be asked for again
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub key: Option<&'a str>,
+    pub key: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub answer: Option<Content<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -44,7 +42,7 @@
 }
 
 impl<'a> AnswerBody<'a> {
-    pub fn new(key: Option<&'a str>, answer: &'a Answer) -> Self {
+    pub fn new(key: &'a str, answer: &'a Answer) -> Self {
         Self {
             outcome: answer.outcome,
             key,
--- a/crates/entry/src/http/job.rs
+++ b/crates/entry/src/http/job.rs
@@ -61,7 +61,7 @@
     invariant!(answers.len() == count, "{} answers to {count} tasks", answers.len());
     let combined = combine(&answers);
     shared.record_answer(&submission, SubmissionKind::Job, combined.outcome);
-    let mut body = AnswerBody::new(submission.caller_key(), &combined);
+    let mut body = AnswerBody::new(&submission.key, &combined);
     if combined.outcome == Outcome::Done {
         body.answers = Some(answers.iter().map(|a| Content::new(&a.body)).collect());
     }
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -52,5 +52,5 @@
     let answer = dispatcher.run(submission.request_task(task)?).await?;
     drop(in_flight);
     shared.record_answer(&submission, SubmissionKind::Request, answer.outcome);
-    Ok(respond(&answer, &AnswerBody::new(submission.caller_key(), &answer)))
+    Ok(respond(&answer, &AnswerBody::new(&submission.key, &answer)))
 }
--- a/crates/entry/src/http/submission.rs
+++ b/crates/entry/src/http/submission.rs
@@ -103,11 +103,6 @@
         Ok(tasks)
     }
 
-    /// The key, if the caller gave one.
-    pub fn caller_key(&self) -> Option<&str> {
-        self.keyed.then_some(&*self.key)
-    }
-
     fn task(&self, index: u32, task: TaskBody) -> Result<Task> {
         if !is_plain(&task.operation) {
             return bad_field("operation", "must be 1 to 128 printable ASCII characters");
