config_sync: the configuration travels on a connection of its own

Callers saw: after the platform accepted 1,400 more routes (about 330 kB) most jobs failed for 8 to 20 s, 503 after up to 9 s; entries sent 2 to 6 MB/s at 3 to 6 % of their processors.

Cause: an answer to a heartbeat carried the whole document whenever the agent was behind, so each of 9 (then 14) entries sent it to each of 54 agents at once: 54 x 330 kB take 6 s on 25 Mbit/s, a heartbeat is given up after 272 ms. The link is closed with it, and the document sent again over the next one.

Change: heartbeats and exchanges between entries carry the version only. A process that is behind asks one entry at a time (`greet`, in the schema already) over its own connection, for as long as bytes arrive; an entry sends one document at a time and pauses for as long as that took. Entries wait 0.4 s for the store before they ask; of the agents ahead of it an entry lets one send. Sessions, leases and the limit of heartbeats stay as they are. No change of the schema. Older processes get and send documents with heartbeats as before, but an entry serves one of them at a time.

Conclusion: the suspicion holds; the document must not share a connection or a time limit with heartbeats.

--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -9,8 +9,11 @@
 
 use base::{Event, Name, Token, Uptime, uptime};
 use conf::CurrentFleet;
+use config_sync::{ConfigExchange, ExchangeSettings, TransferSlot};
 use tokio::time::{sleep, timeout};
-use wire::{Link, Method, Welcome, dial_within, read_welcome, write_welcome};
+use wire::{
+    Document, Hello, Link, Method, SEND_NOTHING, Welcome, dial_within, read_welcome, write_welcome,
+};
 
 /// Time between two exchanges with an entry in a small fleet; all agents know a
 /// new entry within about twice that.
@@ -25,6 +28,11 @@
 const STARTING_PERIOD: Duration = Duration::from_secs(4);
 /// Shortest time after which an unreachable entry is forgotten.
 const MIN_RETENTION: Duration = Duration::from_secs(20);
+/// Time from hearing of a new configuration to asking for it: usually the store
+/// sends it by then.
+const STORE_READ_TIME: Duration = Duration::from_millis(400);
+/// Shorter than that of agents: callers don't wait for them.
+const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Gossip between entries about the entries and the configuration of the fleet.
 /// Entries learn of each other from the settings, from the platform's table and
@@ -39,6 +47,13 @@
     configured: RefCell<Vec<SocketAddr>>,
     /// known entries, and the time of the newest exchange
     known: RefCell<BTreeMap<SocketAddr, Cell<Uptime>>>,
+    exchange: Rc<ConfigExchange>,
+    /// documents to agents and entries
+    outgoing: RefCell<TransferSlot>,
+    /// documents from agents
+    incoming: RefCell<TransferSlot>,
+    /// newest version of an agent, and when this entry first heard of it
+    newest_heard: Cell<(u64, Uptime)>,
 }
 
 impl Gossip {
@@ -49,6 +64,9 @@
         token: Token,
         fleet: Arc<CurrentFleet>,
     ) -> Rc<Self> {
+        let settings =
+            ExchangeSettings { delay: STORE_READ_TIME, retry_interval: FETCH_RETRY_INTERVAL };
+        let exchange = ConfigExchange::new(name.clone(), token.clone(), fleet.clone(), settings);
         Rc::new(Self {
             name,
             incarnation,
@@ -57,6 +75,10 @@
             fleet,
             configured: RefCell::default(),
             known: RefCell::default(),
+            exchange,
+            outgoing: RefCell::default(),
+            incoming: RefCell::default(),
+            newest_heard: Cell::default(),
         })
     }
 
@@ -84,19 +106,44 @@
         self.apply(entry, known);
     }
 
-    /// Message for an entry that has seen the version `seen`.
-    pub fn welcome(&self, seen: u64) -> Welcome {
+    /// Message for a process that has seen the version `seen`, and takes a newer one
+    /// with it.
+    pub fn welcome(&self, to: &Name, seen: u64) -> Welcome {
+        let document = self.document_for(to, seen);
+        let version = document.as_ref().map(|d| d.version);
+        self.message(version.unwrap_or_else(|| self.fleet.highest_offered()), document)
+    }
+
+    /// Message for an agent; shows it an older version than its own only if it is to
+    /// send the configuration.
+    pub fn welcome_agent(&self, hello: &Hello) -> Welcome {
+        let mut welcome = self.welcome(&hello.name, hello.highest_offered);
+        let is_behind = self.fleet.highest_offered() < hello.config_version;
+        if is_behind && !self.requests_from(&hello.name, hello.config_version) {
+            welcome.config_version = hello.config_version;
+        }
+        welcome
+    }
+
+    /// The configuration for a process that has seen the version `seen`; `None` if it
+    /// needs none, or others are being sent theirs.
+    pub fn document_for(&self, to: &Name, seen: u64) -> Option<Document> {
         let snapshot = self.fleet.get();
-        let is_behind = seen < snapshot.version;
-        Welcome {
-            name: self.name.clone(),
-            incarnation: self.incarnation,
-            entries: self.entries(),
-            config_version: if is_behind { snapshot.version } else { self.fleet.highest_offered() },
-            config: is_behind.then(|| snapshot.text.clone()),
-            surplus: false,
-            entries_digest: 0,
+        if seen < snapshot.version {
+            let is_next = self.outgoing.borrow_mut().acquire(to, uptime());
+            let (version, text) = (snapshot.version, snapshot.text.clone());
+            return is_next.then_some(Document { version, text });
+        }
+        if seen != SEND_NOTHING {
+            self.outgoing.borrow_mut().release(to, uptime());
         }
+        None
+    }
+
+    /// Handles a configuration from an agent.
+    pub fn on_document(&self, from: &Name, version: u64, document: &str) {
+        self.fleet.offer(version, document);
+        self.incoming.borrow_mut().release(from, uptime());
     }
 
     /// This entry and those with a recent exchange.
@@ -108,6 +155,30 @@
         recent.map(|(entry, _)| *entry).chain([self.address]).collect()
     }
 
+    /// Whether an agent with a newer version is to send it.
+    fn requests_from(&self, agent: &Name, version: u64) -> bool {
+        let now = uptime();
+        let (newest, since) = self.newest_heard.get();
+        if version > newest {
+            self.newest_heard.set((version, now));
+        }
+        let waited = if version > newest { Duration::ZERO } else { now.saturating_sub(since) };
+        let is_due = self.fleet.version() == 0 || waited >= STORE_READ_TIME;
+        is_due && self.incoming.borrow_mut().acquire(agent, now)
+    }
+
+    fn message(&self, config_version: u64, document: Option<Document>) -> Welcome {
+        Welcome {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            entries: self.entries(),
+            config_version,
+            config: document.map(|d| d.text),
+            surplus: false,
+            entries_digest: 0,
+        }
+    }
+
     async fn keep_exchanging(self: Rc<Self>, entry: SocketAddr) {
         let since = uptime();
         loop {
@@ -120,6 +191,7 @@
             let is_gone = away > self.retention();
             if is_gone && !self.configured.borrow().contains(&entry) {
                 self.known.borrow_mut().remove(&entry);
+                self.exchange.forget(entry);
                 return;
             }
             sleep(if away > STARTING_PERIOD { self.interval() } else { REDIAL_INTERVAL }).await;
@@ -128,10 +200,10 @@
 
     /// Exchanges messages with another entry for as long as the link lasts.
     async fn exchange_until_lost(self: &Rc<Self>, entry: SocketAddr, link: &Link) {
-        let mut seen = 0;
-        while let Ok(Ok(welcome)) = timeout(EXCHANGE_TIMEOUT, self.exchange(link, seen)).await {
-            seen = welcome.config_version;
+        self.exchange.forget(entry);
+        while let Ok(Ok(welcome)) = timeout(EXCHANGE_TIMEOUT, self.meet(entry, link)).await {
             self.apply(entry, &welcome);
+            self.exchange.on_version(entry, welcome.config_version);
             sleep(self.interval()).await;
         }
     }
@@ -147,16 +219,15 @@
         MIN_RETENTION.max(self.interval() * 3)
     }
 
-    async fn exchange(&self, link: &Link, seen: u64) -> wire::Result<Welcome> {
+    async fn meet(&self, entry: SocketAddr, link: &Link) -> wire::Result<Welcome> {
         let mut req = link.entry()?.meet_request();
         Method::Meet.record_call();
         req.get().set_address(self.address.to_string().as_str());
-        let known = match seen {
-            // the version of the other entry isn't known yet
-            0 => self.welcome(u64::MAX),
-            seen => self.welcome(seen),
+        let seen = match self.exchange.is_inline_only(entry) {
+            true => self.fleet.highest_offered(),
+            false => SEND_NOTHING,
         };
-        write_welcome(req.get().init_known(), &known);
+        write_welcome(req.get().init_known(), &self.message(seen, None));
         let res = req.send().promise.await?;
         read_welcome(res.get()?.get_welcome()?)
     }
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -9,11 +9,13 @@
 
 use base::{Event, Name, Token, Uptime, uptime};
 use conf::{CurrentFleet, VisitSettings};
+use config_sync::{ConfigExchange, ExchangeSettings};
 use lease::SessionId;
 use tokio::time::{sleep, timeout};
 use topology::{Rank, ScheduleSettings, VisitSchedule, rank};
 use wire::{
-    Hello, Link, Method, Welcome, dial_within, egret_capnp::worker, read_welcome, write_hello,
+    Hello, Link, Method, SEND_NOTHING, Welcome, dial_within, egret_capnp::worker, read_welcome,
+    write_hello,
 };
 
 use crate::{Driver, Identity, worker::LinkWorker};
@@ -44,6 +46,7 @@
     token: Token,
     driver: Rc<Driver>,
     fleet: Arc<CurrentFleet>,
+    exchange: Rc<ConfigExchange>,
     /// entries in the settings, never forgotten
     configured: RefCell<Vec<SocketAddr>>,
     entries: RefCell<HashMap<SocketAddr, Rc<KnownEntry>>>,
@@ -99,11 +102,18 @@
             pinned: visits.pinned,
             interval: Duration::from_secs_f64(visits.interval_ms / 1000.0),
         };
+        let exchange = ConfigExchange::new(
+            identity.name.clone(),
+            token.clone(),
+            fleet.clone(),
+            ExchangeSettings::default(),
+        );
         let state = State {
             identity,
             token,
             driver,
             fleet,
+            exchange,
             configured: RefCell::default(),
             entries: RefCell::default(),
             schedule: VisitSchedule::new(schedule),
@@ -151,6 +161,7 @@
             let outage = uptime().saturating_sub(since);
             if outage > FORGET_AFTER && !self.state.configured.borrow().contains(&entry) {
                 self.state.entries.borrow_mut().remove(&entry);
+                self.state.exchange.forget(entry);
                 self.state.forget_count.set(self.state.forget_count.get() + 1);
                 return;
             }
@@ -168,6 +179,7 @@
     /// Extends the session over one link until the link fails or the entry no
     /// longer needs this agent; returns the last known need.
     async fn run_session(&self, entry: SocketAddr, known: &KnownEntry, link: Link) -> Need {
+        self.state.exchange.forget(entry);
         let closed = Rc::new(Cell::new(false));
         let name: Name = entry.to_string().as_str().into();
         let server = LinkWorker::new(self.state.driver.clone(), name, closed.clone());
@@ -237,10 +249,12 @@
 
     /// Sends a heartbeat and handles the answer.
     async fn join(&self, peer: &EntryLink, known: &KnownEntry) -> wire::Result<()> {
-        let State { identity, driver, fleet, .. } = &*self.state;
+        let State { identity, driver, fleet, exchange, .. } = &*self.state;
         let snapshot = fleet.get();
         let load = driver.load();
-        let behind = peer.config_version.get() > 0 && peer.config_version.get() < snapshot.version;
+        let inline = exchange.is_inline_only(peer.link.address());
+        let known_version = peer.config_version.get();
+        let behind = known_version > 0 && known_version < snapshot.version;
         let sent_at = uptime();
         let (digest, forget_count) = peer.received_list.get();
         let hello = Hello {
@@ -251,8 +265,8 @@
             labels: driver.labels(),
             load,
             config_version: snapshot.version,
-            highest_offered: fleet.highest_offered(),
-            config: behind.then(|| snapshot.text.clone()),
+            highest_offered: if inline { fleet.highest_offered() } else { SEND_NOTHING },
+            config: (behind && inline).then(|| snapshot.text.clone()),
             sent_at,
             pinned: self.state.schedule.is_pinned(self.position(known)),
             // 0 requests the full list
@@ -285,6 +299,11 @@
         if let Some(document) = &welcome.config {
             self.state.fleet.offer(welcome.config_version, document);
         }
+        let entry = peer.link.address();
+        self.state.exchange.on_version(entry, welcome.config_version);
+        if welcome.config_version < self.state.fleet.version() {
+            self.state.exchange.send(entry);
+        }
         for entry in &welcome.entries {
             self.add_entry(*entry);
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod bootstrap;
 mod claim;
+mod document;
 mod heartbeat;
 #[allow(clippy::all, clippy::unimplemented, clippy::wildcard_imports)]
 #[rustfmt::skip]
@@ -24,6 +25,7 @@
     read_claim, read_grant, read_ids, read_member, read_record, write_claim, write_grant,
     write_member, write_record,
 };
+pub use document::{Document, Fetched, SEND_NOTHING, fetch_document, send_document};
 pub use heartbeat::{read_heartbeat, read_roster, write_heartbeat};
 pub use info::{AgentInfo, ClassLoad, Load, read_info, read_load, write_info, write_load};
 pub use lease::{
@@ -56,12 +58,18 @@
     Lost(String),
     #[error("message can't be read: {0}")]
     Malformed(String),
+    /// the peer is older than the call
+    #[error("call is not supported: {0}")]
+    Unsupported(String),
 }
 
 pub type Result<T> = std::result::Result<T, Error>;
 
 impl From<capnp::Error> for Error {
     fn from(e: capnp::Error) -> Self {
-        Error::Lost(e.to_string())
+        match e.kind {
+            capnp::ErrorKind::Unimplemented => Error::Unsupported(e.to_string()),
+            _ => Error::Lost(e.to_string()),
+        }
     }
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -40,10 +40,12 @@
     task: JoinHandle<()>,
 }
 
-/// Whether a connection has ended.
+/// Whether a connection has ended, and its traffic.
 #[derive(Default)]
 struct LinkState {
     is_down: Cell<bool>,
+    /// bytes sent and received
+    bytes: Rc<Cell<u64>>,
     ended: Notify,
 }
 
@@ -74,6 +76,11 @@
         }
     }
 
+    /// Bytes sent and received so far.
+    pub fn bytes(&self) -> u64 {
+        self.state.bytes.get()
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
@@ -182,15 +189,21 @@
     let (read, write) = stream.into_split();
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    let state = Rc::<LinkState>::default();
     let network = VatNetwork::new(
-        BufReader::with_capacity(BUFFER_BYTES, CountedRead(read.compat())),
-        BufWriter::with_capacity(BUFFER_BYTES, CountedWrite::new(write.compat_write())),
+        BufReader::with_capacity(
+            BUFFER_BYTES,
+            CountedRead::new(read.compat(), state.bytes.clone()),
+        ),
+        BufWriter::with_capacity(
+            BUFFER_BYTES,
+            CountedWrite::new(write.compat_write(), state.bytes.clone()),
+        ),
         side,
         options,
     );
     let mut system = RpcSystem::new(Box::new(network), gate.map(|g| g.client));
     let gate = system.bootstrap(Side::Server);
-    let state = Rc::<LinkState>::default();
     let connection = state.clone();
     let task = actix::spawn(async move {
         if let Err(e) = system.await {
--- a/crates/wire/src/traffic.rs
+++ b/crates/wire/src/traffic.rs
@@ -1,6 +1,8 @@
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
+    rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
     task::{Context, Poll},
 };
@@ -93,17 +95,29 @@
 }
 
 /// Reading half of a connection that counts its bytes.
-pub struct CountedRead<S>(pub S);
+pub struct CountedRead<S> {
+    inner: S,
+    link_bytes: Rc<Cell<u64>>,
+}
+
+impl<S> CountedRead<S> {
+    /// `link_bytes` counts the bytes of this connection in both directions.
+    pub fn new(inner: S, link_bytes: Rc<Cell<u64>>) -> Self {
+        Self { inner, link_bytes }
+    }
+}
 
 /// Writing half of a connection that counts its bytes and messages.
 pub struct CountedWrite<S> {
     inner: S,
     counter: MessageCounter,
+    link_bytes: Rc<Cell<u64>>,
 }
 
 impl<S> CountedWrite<S> {
-    pub fn new(inner: S) -> Self {
-        Self { inner, counter: MessageCounter::default() }
+    /// See [`CountedRead::new`].
+    pub fn new(inner: S, link_bytes: Rc<Cell<u64>>) -> Self {
+        Self { inner, counter: MessageCounter::default(), link_bytes }
     }
 }
 
@@ -113,7 +127,8 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        count(&RECEIVED, Pin::new(&mut self.0).poll_read(cx, buf))
+        let done = Pin::new(&mut self.inner).poll_read(cx, buf);
+        count(&RECEIVED, &self.link_bytes, done)
     }
 }
 
@@ -128,7 +143,7 @@
             MESSAGES.fetch_add(self.counter.feed(&buf[..*n]), Ordering::Relaxed);
             WRITES.fetch_add(1, Ordering::Relaxed);
         }
-        count(&SENT, done)
+        count(&SENT, &self.link_bytes, done)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -140,9 +155,14 @@
     }
 }
 
-fn count(total: &AtomicU64, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+fn count(
+    total: &AtomicU64,
+    link_bytes: &Cell<u64>,
+    done: Poll<io::Result<usize>>,
+) -> Poll<io::Result<usize>> {
     if let Poll::Ready(Ok(n)) = &done {
         total.fetch_add(*n as u64, Ordering::Relaxed);
+        link_bytes.set(link_bytes.get() + *n as u64);
     }
     done
 }
