lease: the simulation of answers has callers who wait for more than a minute

Since a batch is kept until its caller's deadline, so that shorter faults no longer meet a forgotten one. Some callers now wait for up to 150 s, and some faults last up to 80 s. A batch that can't arrive for 0.5 s is lost with its link.

--- a/crates/lease/tests/promises.rs
+++ b/crates/lease/tests/promises.rs
@@ -14,16 +14,19 @@
     LeaseTimings, Listing, Progress, RefusalReason, Resources, RunEnd, RunProgress, Scheduler,
     SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder, TaskRef,
 };
-use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 const AGENTS: usize = 2;
 const SESSION: SessionId = SessionId(1);
 const STEP: Duration = Duration::from_millis(10);
-const STEPS: u64 = 4000;
+const STEPS: u64 = 12_000;
 const LISTING_INTERVAL: Duration = Duration::from_millis(100);
 const ESTIMATE: Duration = Duration::from_millis(300);
-/// Longest suspension of the entry, and longest cut of a link, in milliseconds.
-const LONGEST_FAULT_MS: u64 = 12_000;
+/// Longest faults, in milliseconds; the last exceed the time for which a batch is
+/// kept for the most patient caller.
+const LONGEST_FAULTS_MS: [u64; 6] = [1000, 1000, 1000, 12_000, 12_000, 80_000];
+/// Time after which a batch that couldn't arrive is lost with its link.
+const LINK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most jobs in progress.
 const MAX_JOBS: usize = 4;
 /// Offset of the number under which a late message escapes its bar.
@@ -168,6 +171,8 @@
     agent: usize,
     number: u64,
     sent_at: Uptime,
+    /// of the caller when it was sent
+    time_left: Duration,
     link: LinkState,
     seen: usize,
     pending: Vec<(u32, u32)>,
@@ -292,7 +297,7 @@
 
     fn inject_fault(&mut self) {
         let agent = self.rng.random_range(0..AGENTS);
-        let longest = if self.rng.random_bool(0.5) { 1000 } else { LONGEST_FAULT_MS };
+        let longest = *LONGEST_FAULTS_MS.choose(&mut self.rng).expect("not empty");
         let span = Duration::from_millis(self.rng.random_range(50..longest));
         match self.rng.random_range(0..2000) {
             0..4 if self.suspended_until <= self.now => {
@@ -361,7 +366,8 @@
         if self.agents[i].cut_until > now {
             return;
         }
-        let messages = std::mem::take(&mut self.agents[i].messages);
+        let mut messages = std::mem::take(&mut self.agents[i].messages);
+        messages.retain(|(arrives_at, ..)| *arrives_at + LINK_TIMEOUT >= now);
         let (due, later): (Vec<_>, Vec<_>) =
             messages.into_iter().partition(|(arrives_at, ..)| *arrives_at <= now);
         self.agents[i].messages = later;
@@ -458,7 +464,8 @@
     fn accept_job(&mut self) {
         self.last_job += 1;
         let cutoff = Duration::from_millis(self.rng.random_range(400..4000));
-        let time_left = Duration::from_millis(self.rng.random_range(1000..15_000));
+        let longest = if self.rng.random_bool(0.8) { 15_000 } else { 150_000 };
+        let time_left = Duration::from_millis(self.rng.random_range(1000..longest));
         let tasks = self.rng.random_range(1..=2);
         let name: Name = format!("job-{}", self.last_job).as_str().into();
         self.note(|| format!("{name} arrives: {tasks} tasks, {time_left:?}, useful {cutoff:?}"));
@@ -556,7 +563,7 @@
             let key = agent.scheduler.find(SESSION, number);
             return key.map_or(BatchLookup::NeverReceived, BatchLookup::Known);
         }
-        agent.scheduler.look_up(SESSION, number, sent_at, now)
+        agent.scheduler.look_up(SESSION, number, sent_at, batch.time_left, now)
     }
 
     /// Progress in which all pending tasks of a batch end in the same way.
@@ -620,6 +627,7 @@
         let agent = &mut self.agents[i];
         agent.last_contact = now;
         let sent_at = now.saturating_sub(agent.lag);
+        let time_left = job.deadline.saturating_sub(now);
         let batch = Batch {
             number,
             job: job.name.clone(),
@@ -627,13 +635,14 @@
             resources: Resources { cpu: 500, ..Resources::default() },
             estimate: ESTIMATE,
             max_wait: Duration::from_millis(500),
-            time_left: job.deadline.saturating_sub(now),
+            time_left,
             tasks,
         };
         let pending = batch.tasks.iter().map(|t| (t.index, t.run)).collect();
         agent.messages.push((now + delay, batch, sent_at));
         let link = LinkState::Placing;
-        job.placed.push(Placed { agent: i, number, sent_at, link, seen: 0, pending });
+        let agent = i;
+        job.placed.push(Placed { agent, number, sent_at, time_left, link, seen: 0, pending });
     }
 }
 
@@ -673,7 +682,7 @@
 
 #[test]
 fn a_job_answered_as_not_run_has_no_run() {
-    (0..seeds(400)).for_each(assert_holds);
+    (0..seeds(300)).for_each(assert_holds);
 }
 
 macro_rules! needed {
