--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -311,12 +311,9 @@
             BatchUpdate::NeverReceived => {
                 self.end_all(&batch, Ending::NotRun, "the agent never got it")
             }
-            BatchUpdate::Lost(reason) => {
-                self.started.set(true);
-                self.end_all(&batch, Ending::Lost, reason)
-            }
+            BatchUpdate::Lost(reason) => self.end_all(&batch, Ending::Lost, reason),
         };
-        if progress.started {
+        if progress.started || progress.results.iter().any(|r| r.ending != Ending::NotRun) {
             self.started.set(true);
         }
         // without a reported load the capacity is zero
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -270,7 +270,7 @@
         if let Some(key) = self.find(id, number) {
             return BatchLookup::Known(key);
         }
-        self.barred.insert((id, number), now);
+        self.bar(id, number, now);
         // had it been received, it would have been kept at least until then
         let is_forgotten = kept_until(sent_at, time_left) < now;
         Event::BatchUnknown.note(&[
@@ -282,6 +282,11 @@
         if is_forgotten { BatchLookup::Forgotten } else { BatchLookup::NeverReceived }
     }
 
+    /// Rejects the batch with a number that is not known, if it arrives after all.
+    pub fn bar(&mut self, id: SessionId, number: u64, now: Uptime) {
+        self.barred.insert((id, number), now);
+    }
+
     /// Progress of a batch beyond the first `after` results; `None` for an
     /// unknown batch, and until all tasks have ended or a new result has an
     /// ending other than `Done`.
@@ -674,7 +679,7 @@
         }
         let batch = self.batches.get(key)?;
         if self.barred.contains_key(&(id, batch.number)) {
-            return Some("the entry was told that it was not received");
+            return Some("its entry was told that it is unknown");
         }
         if let Some(reason) = self.unready_reason() {
             return Some(reason);
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -157,6 +157,13 @@
         assert!(s.starts().is_empty());
         assert_eq!(s.endings(key), [Ending::NotRun]);
     };
+    a_batch_that_was_stopped_before_it_arrived_does_not_start: |mut s| {
+        let now = s.now;
+        s.scheduler.bar(ENTRY, 1, now);
+        let key = s.place(1, 1, 300);
+        assert!(s.starts().is_empty());
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+    };
     a_started_task_that_is_returned_still_counts_as_started: |mut s| {
         let key = s.place(1, 1, 300);
         let order = s.starts().remove(0);
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -185,6 +185,7 @@
     /// Cancels a batch, and waits until nothing of it runs.
     pub async fn cancel_batch(self: &Rc<Self>, session: SessionId, number: u64) -> BatchStatus {
         let Some(key) = self.scheduler.borrow().find(session, number) else {
+            self.scheduler.borrow_mut().bar(session, number, uptime());
             return BatchStatus::Forgotten;
         };
         self.with_scheduler(|scheduler, now| scheduler.cancel_batch(key, now));
