lease: nothing starts in a drained data centre

The agent is the last check for an entry that is suspended or cut off. Scheduler::set_centre returns the queue as not run, reports the agent not ready, accepts no task and orders no start.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -32,7 +32,7 @@
 pub use load::AgentLoad;
 pub use order::{Effect, RefusalReason, RunKey, StartOrder, StartOutcome, StopOrder, TaskRef};
 pub use resources::Resources;
-pub use scheduler::{Scheduler, SchedulerSettings};
+pub use scheduler::{CentreState, Scheduler, SchedulerSettings};
 pub use session::SessionId;
 pub use timings::{LeaseBounds, LeaseTimings};
 
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -43,6 +43,9 @@
 /// Multiple of the longest step of a run after which it has stalled.
 const STALL_STEPS: u32 = 5;
 
+/// Reason of what is returned because of a drain.
+const CENTRE_DRAINED: &str = "data centre is drained";
+
 /// Settings of a scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -83,9 +86,19 @@
     /// no starts before this
     next_start: Uptime,
     is_stopping: bool,
+    centre: CentreState,
     effects: Vec<Effect>,
 }
 
+/// State of the data centre of an agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CentreState {
+    #[default]
+    InUse,
+    /// operators let nothing be started there
+    Drained,
+}
+
 /// One incarnation of the backend server.
 #[derive(Clone, Debug)]
 struct Backend {
@@ -115,6 +128,7 @@
             ended_runs: HashMap::new(),
             next_start: Uptime::ZERO,
             is_stopping: false,
+            centre: CentreState::default(),
             effects: Vec::new(),
         }
     }
@@ -151,6 +165,16 @@
         self.advance(now);
     }
 
+    /// Sets the state of the agent's data centre. While it is drained nothing new
+    /// starts, and runs end.
+    pub fn set_centre(&mut self, state: CentreState, now: Uptime) {
+        let before = mem::replace(&mut self.centre, state);
+        if state == CentreState::Drained && before != state {
+            self.return_queued(CENTRE_DRAINED, now);
+        }
+        self.advance(now);
+    }
+
     /// Stops all runs, because the agent has no time left.
     pub fn stop_all(&mut self, now: Uptime) {
         let active: Vec<RunKey> = self.active_runs().collect();
@@ -404,6 +428,10 @@
     /// longer start.
     pub fn lease_for_start(&mut self, key: RunKey, now: Uptime) -> Option<Uptime> {
         self.expire_sessions(now);
+        // the drain may have begun between the order and its sending
+        if self.centre == CentreState::Drained {
+            return None;
+        }
         let run = self.runs.get(key).filter(|r| r.state == State::Starting)?;
         let last_seen = self.sessions.get(&self.session_of(run)?)?.last_seen;
         Some(self.extend_lease(last_seen, now))
@@ -588,6 +616,11 @@
             "start of {} for a session that has expired",
             run.task
         );
+        invariant!(
+            self.centre != CentreState::Drained,
+            "start of {} in a drained data centre",
+            run.task
+        );
         run.state = State::Starting;
         run.ordered_at = now;
         batch.started = true;
@@ -1002,6 +1035,9 @@
         if self.is_stopping {
             return Some("agent stops");
         }
+        if self.centre == CentreState::Drained {
+            return Some(CENTRE_DRAINED);
+        }
         if self.failed_listings >= MAX_FAILED_LISTINGS {
             return Some("backend server is silent");
         }
