runner: agents apply and pass on drains

Heartbeats carry the drains that the agent knows. Those of an entry's answer are in force before its session is extended. A call over a new link now waits until the answer to the first heartbeat was applied: an agent that has just started could otherwise get a task before it knows of the drain.

--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -6,9 +6,9 @@
 
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
-    AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, Effect, HealthSettings,
-    LeaseTimings, Progress, RefusalReason, Scheduler, SchedulerSettings, SessionId, StartOrder,
-    StartOutcome, StopOrder,
+    AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, CentreState, Effect,
+    HealthSettings, LeaseTimings, Progress, RefusalReason, Scheduler, SchedulerSettings, SessionId,
+    StartOrder, StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
 use tokio::{
@@ -49,6 +49,8 @@
     /// wake the calls that wait for progress of a batch
     notifiers: RefCell<SecondaryMap<BatchKey, Rc<Notify>>>,
     announcement: RefCell<Option<Announcement>>,
+    /// state of this agent's data centre
+    centre: Cell<CentreState>,
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
@@ -75,6 +77,7 @@
             wake: Notify::new(),
             notifiers: RefCell::default(),
             announcement: RefCell::new(None),
+            centre: Cell::default(),
             listing_requested: Cell::new(false),
             answer_timeout: Cell::default(),
             was_ready: Cell::default(),
@@ -108,6 +111,18 @@
         true
     }
 
+    /// Sets the state of this agent's data centre.
+    pub fn set_centre(self: &Rc<Self>, state: CentreState) {
+        if self.centre.replace(state) != state {
+            self.with_scheduler(|scheduler, now| scheduler.set_centre(state, now));
+        }
+    }
+
+    /// State of this agent's data centre.
+    pub fn centre(&self) -> CentreState {
+        self.centre.get()
+    }
+
     /// Handles the announced exit of the backend server with this id.
     pub fn on_departure(self: &Rc<Self>, id: &str) {
         let known = self.announcement.borrow().as_ref().is_some_and(|a| &*a.id == id);
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -10,8 +10,8 @@
 use base::{Event, Name, Token, Uptime, uptime};
 use conf::{CurrentFleet, VisitSettings};
 use config_sync::{ConfigExchange, ExchangeSettings};
-use drain::Drains;
-use lease::SessionId;
+use drain::{CurrentDrains, Drains};
+use lease::{CentreState, SessionId};
 use tokio::time::{sleep, timeout};
 use topology::{Rank, ScheduleSettings, VisitSchedule, rank};
 use wire::{
@@ -19,7 +19,7 @@
     write_hello,
 };
 
-use crate::{Driver, Identity, worker::LinkWorker};
+use crate::{Driver, Identity, link_state::LinkState, worker::LinkWorker};
 
 /// Limit for connecting to an entry: far longer than any round trip, and much
 /// shorter than the second after which TCP retransmits a lost SYN.
@@ -47,6 +47,7 @@
     token: Token,
     driver: Rc<Driver>,
     fleet: Arc<CurrentFleet>,
+    drains: Arc<CurrentDrains>,
     exchange: Rc<ConfigExchange>,
     /// entries in the settings, never forgotten
     configured: RefCell<Vec<SocketAddr>>,
@@ -65,10 +66,8 @@
 /// Link to an entry, and what was exchanged over it.
 struct EntryLink {
     link: Link,
-    closed: Rc<Cell<bool>>,
+    state: Rc<LinkState>,
     worker: worker::Client,
-    /// whether the entry has answered, and so has got `worker`
-    joined: Cell<bool>,
     session: Cell<Option<SessionId>>,
     /// configuration version of the entry; 0 before its first answer
     config_version: Cell<u64>,
@@ -97,6 +96,7 @@
         token: Token,
         driver: Rc<Driver>,
         fleet: Arc<CurrentFleet>,
+        drains: Arc<CurrentDrains>,
         visits: &VisitSettings,
     ) -> Self {
         let schedule = ScheduleSettings {
@@ -114,6 +114,7 @@
             token,
             driver,
             fleet,
+            drains,
             exchange,
             configured: RefCell::default(),
             entries: RefCell::default(),
@@ -181,14 +182,13 @@
     /// longer needs this agent; returns the last known need.
     async fn run_session(&self, entry: SocketAddr, known: &KnownEntry, link: Link) -> Need {
         self.state.exchange.forget(entry);
-        let closed = Rc::new(Cell::new(false));
+        let state = Rc::<LinkState>::default();
         let name: Name = entry.to_string().as_str().into();
-        let server = LinkWorker::new(self.state.driver.clone(), name, closed.clone());
+        let server = LinkWorker::new(self.state.driver.clone(), name, state.clone());
         let peer = EntryLink {
             link,
-            closed,
+            state,
             worker: capnp_rpc::new_client(server),
-            joined: Cell::new(false),
             session: Cell::new(None),
             config_version: Cell::new(0),
             sent_ready: Cell::new(false),
@@ -212,7 +212,7 @@
                 break;
             }
         }
-        peer.closed.set(true);
+        peer.state.close();
         peer.link.close();
         peer.need.get()
     }
@@ -250,7 +250,7 @@
 
     /// Sends a heartbeat and handles the answer.
     async fn join(&self, peer: &EntryLink, known: &KnownEntry) -> wire::Result<()> {
-        let State { identity, driver, fleet, exchange, .. } = &*self.state;
+        let State { identity, driver, fleet, drains, exchange, .. } = &*self.state;
         let snapshot = fleet.get();
         let load = driver.load();
         let inline = exchange.is_inline_only(peer.link.address());
@@ -272,23 +272,26 @@
             pinned: self.state.schedule.is_pinned(self.position(known)),
             // 0 requests the full list
             entries_digest: if forget_count == self.state.forget_count.get() { digest } else { 0 },
-            drains: Drains::default(),
+            drains: drains.get(),
         };
         let mut req = peer.link.entry()?.join_request();
         Method::Join.record_call();
         write_hello(req.get().init_hello(), &hello);
-        if !peer.joined.get() {
+        if !peer.state.is_joined() {
             req.get().set_worker(peer.worker.clone());
         }
         let res = req.send().promise.await?;
         let welcome = read_welcome(res.get()?.get_welcome()?)?;
-        peer.joined.set(true);
         peer.sent_ready.set(load.ready);
         self.on_welcome(peer, &welcome, sent_at);
+        // the entry has `worker` now, and what it knows of drains is in force
+        peer.state.set_joined();
         Ok(())
     }
 
     fn on_welcome(&self, peer: &EntryLink, welcome: &Welcome, sent_at: Uptime) {
+        // before the session is extended, so that no task is taken in a drained data centre
+        self.apply_drains(&welcome.drains);
         let session = SessionId::of(&welcome.name, welcome.incarnation);
         peer.session.set(Some(session));
         // 0 would mean that there was no answer yet
@@ -311,6 +314,15 @@
         }
     }
 
+    fn apply_drains(&self, offered: &Drains) {
+        let State { identity, driver, drains, .. } = &*self.state;
+        drains.offer(offered);
+        driver.set_centre(match drains.is_drained(&identity.centre) {
+            true => CentreState::Drained,
+            false => CentreState::InUse,
+        });
+    }
+
     /// Next need of an entry; closes the session of one that becomes surplus. An
     /// entry without a session is surplus at its first report that it has enough
     /// other agents, any other at the second in a row; open work resets the count.
--- a/crates/runner/src/lib.rs
+++ b/crates/runner/src/lib.rs
@@ -5,6 +5,7 @@
 mod driver;
 mod entry_sessions;
 mod identity;
+mod link_state;
 mod metrics;
 mod worker;
 
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -12,6 +12,8 @@
     pub running: Gauge<u64, AtomicU64>,
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
+    /// 1 while the data centre of this agent is drained
+    pub centre_drained: Gauge<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -28,8 +30,14 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let centre_drained = Gauge::default();
+        registry.register(
+            "centre_drained",
+            "1 while operators have drained the data centre of this agent",
+            centre_drained.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, waiting, running, config_version, links }
+        Self { registry, waiting, running, config_version, centre_drained, links }
     }
 }
 
--- a/crates/runner/src/worker.rs
+++ b/crates/runner/src/worker.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use base::Name;
 use capnp::Error;
@@ -10,24 +10,27 @@
     read_batch, write_batch_status,
 };
 
-use crate::Driver;
+use crate::{Driver, link_state::LinkState};
 
 /// RPC server for one entry over one link.
 pub struct LinkWorker {
     driver: Rc<Driver>,
     entry: Name,
-    /// set once the link has been replaced: calls that still arrive over it are refused
-    closed: Rc<Cell<bool>>,
+    /// calls that arrive over a link that has been replaced are refused
+    link: Rc<LinkState>,
 }
 
 impl LinkWorker {
-    pub fn new(driver: Rc<Driver>, entry: Name, closed: Rc<Cell<bool>>) -> Self {
-        Self { driver, entry, closed }
+    pub fn new(driver: Rc<Driver>, entry: Name, link: Rc<LinkState>) -> Self {
+        Self { driver, entry, link }
     }
 
     /// Extends the entry's session, up to the time that it proves the entry alive.
-    fn begin_call(&self, session: u64, alive_us: u64) -> Result<SessionId, Error> {
-        if self.closed.get() {
+    async fn begin_call(&self, session: u64, alive_us: u64) -> Result<SessionId, Error> {
+        // a task may arrive before the answer to the first heartbeat, which tells an
+        // agent that has just started whether its data centre is drained
+        self.link.wait_joined().await;
+        if self.link.is_closed() {
             return Err(Error::disconnected("link was replaced".to_owned()));
         }
         let session = SessionId(session);
@@ -43,7 +46,7 @@
         mut results: PlaceResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let session = self.begin_call(params.get_session(), params.get_heard_us())?;
+        let session = self.begin_call(params.get_session(), params.get_heard_us()).await?;
         let batch = read_batch(params.get_batch()?).map_err(|e| Error::failed(e.to_string()))?;
         let status = self.driver.place(session, batch).await;
         write_batch_status(results.get().init_progress(), &status);
@@ -56,7 +59,7 @@
         mut results: FollowResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let session = self.begin_call(params.get_session(), params.get_heard_us())?;
+        let session = self.begin_call(params.get_session(), params.get_heard_us()).await?;
         let (number, after) = (params.get_number(), params.get_after() as usize);
         let sent_at = Duration::from_micros(params.get_sent_us());
         let time_left = Duration::from_millis(params.get_left_ms().into());
