dispatch: no task for agents of drained data centres

Entries take drains from heartbeats and from the gossip, pass them on with every answer, and leave out agents of drained data centres where agents are selected for a job and where an entry selects the agents that it needs. The answer names the entry's data centre. The report lists each drained data centre with the capacity that is still in use there, and the gauge egret_drained_centres their number.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -16,6 +16,7 @@
     pub name: Name,
     pub incarnation: u64,
     pub service: Name,
+    pub centre: Name,
     pub labels: RefCell<Rc<[Name]>>,
     rank: Rank,
     /// stays connected to this entry whether needed or not
@@ -53,6 +54,7 @@
             name: hello.name.clone(),
             incarnation: hello.incarnation,
             service: hello.service.clone(),
+            centre: hello.centre.clone(),
             labels: RefCell::new(hello.labels.as_slice().into()),
             rank,
             pinned: Cell::new(hello.pinned),
@@ -100,6 +102,7 @@
         AgentReport {
             name: self.name.clone(),
             service: self.service.clone(),
+            centre: self.centre.clone(),
             incarnation: self.incarnation,
             version: self.version.get(),
             ready: load.ready,
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,10 +1,13 @@
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use base::{Event, Name, Uptime, uptime};
-use topology::{AgentSelector, SelectorSettings, rank};
+use drain::{CurrentDrains, DrainedCentre};
+use topology::{AgentSelector, Candidate, SelectorSettings, rank};
 use wire::{Hello, egret_capnp::worker};
 
-use crate::{AgentReport, Job, agent::Agent, backlog::Backlog};
+use crate::{AgentReport, DrainReport, Job, agent::Agent, backlog::Backlog};
 
 /// Time without a heartbeat after which an agent is forgotten; its machine is gone.
 const AGENT_RETENTION: Duration = Duration::from_secs(60);
@@ -17,17 +20,24 @@
     heartbeat_timeout: Duration,
     selector: RefCell<AgentSelector>,
     known: RefCell<BTreeMap<Name, Rc<Agent>>>,
+    drains: Arc<CurrentDrains>,
     /// jobs that wait for free capacity
     pub backlog: Rc<Backlog>,
 }
 
 impl Agents {
-    pub fn new(address: SocketAddr, target_agents: usize, heartbeat_timeout: Duration) -> Rc<Self> {
+    pub fn new(
+        address: SocketAddr,
+        target_agents: usize,
+        heartbeat_timeout: Duration,
+        drains: Arc<CurrentDrains>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             address,
             heartbeat_timeout,
             selector: RefCell::new(AgentSelector::new(SelectorSettings { target_agents })),
             known: RefCell::default(),
+            drains,
             backlog: Rc::default(),
         })
     }
@@ -74,7 +84,13 @@
                 && o.silence_at(now) <= self.heartbeat_timeout
         });
         let selector = self.selector.borrow();
-        selector.is_surplus(&agent.candidate(), others.map(|o| o.candidate()), now)
+        selector.is_surplus(&self.candidate(agent), others.map(|o| self.candidate(o)), now)
+    }
+
+    /// Properties of an agent in the selection; one that gets no work isn't ready.
+    fn candidate(&self, agent: &Agent) -> Candidate {
+        let candidate = agent.candidate();
+        Candidate { ready: candidate.ready && !self.drains.is_drained(&agent.centre), ..candidate }
     }
 
     fn update(&self, hello: &Hello, worker: Option<worker::Client>) {
@@ -113,7 +129,8 @@
         self.known.borrow().get(name).cloned()
     }
 
-    /// Agents of a service with a recent heartbeat that aren't surplus.
+    /// Agents of a service that may get work: their newest heartbeat is recent, they
+    /// aren't surplus, and their data centre isn't drained.
     pub fn of_service(&self, service: &str) -> Vec<Rc<Agent>> {
         let (known, now) = (self.known.borrow(), uptime());
         let usable = known.values().filter(|a| &*a.service == service && self.is_usable(a, now));
@@ -125,6 +142,25 @@
         self.known.borrow().values().map(|a| a.report()).collect()
     }
 
+    /// Status of each drained data centre, for operators.
+    pub fn report_drains(&self) -> Vec<DrainReport> {
+        let known = self.known.borrow();
+        let report = |(name, centre): (&Name, &DrainedCentre)| {
+            let loads = known.values().filter(|a| a.centre == *name).map(|a| a.load());
+            let used = loads.map(|l| l.capacity.cpu.saturating_sub(l.free.cpu));
+            let used: Vec<u32> = used.collect();
+            DrainReport {
+                centre: name.clone(),
+                version: centre.version,
+                since_ms: centre.since_ms,
+                agents: used.len(),
+                busy_agents: used.iter().filter(|u| **u > 0).count(),
+                used_cpu: used.iter().map(|u| u64::from(*u)).sum(),
+            }
+        };
+        self.drains.get().centres.iter().map(report).collect()
+    }
+
     /// Whether any agent accepts work.
     pub fn any_ready(&self) -> bool {
         let now = uptime();
@@ -135,5 +171,6 @@
         agent.silence_at(now) <= self.heartbeat_timeout
             && !agent.is_unreachable()
             && !agent.surplus.get()
+            && !self.drains.is_drained(&agent.centre)
     }
 }
--- a/crates/dispatch/src/gossip.rs
+++ b/crates/dispatch/src/gossip.rs
@@ -10,7 +10,7 @@
 use base::{Event, Name, Token, Uptime, uptime};
 use conf::CurrentFleet;
 use config_sync::{ConfigExchange, ExchangeSettings, TransferSlot};
-use drain::Drains;
+use drain::{CurrentDrains, Drains};
 use tokio::time::{sleep, timeout};
 use wire::{
     Document, Hello, Link, Method, SEND_NOTHING, Welcome, dial_within, read_welcome, write_welcome,
@@ -41,9 +41,11 @@
 pub struct Gossip {
     name: Name,
     incarnation: u64,
+    centre: Name,
     address: SocketAddr,
     token: Token,
     fleet: Arc<CurrentFleet>,
+    drains: Arc<CurrentDrains>,
     /// entries in the settings, which are never forgotten
     configured: RefCell<Vec<SocketAddr>>,
     /// known entries, and the time of the newest exchange
@@ -61,9 +63,11 @@
     pub fn new(
         name: Name,
         incarnation: u64,
+        centre: Name,
         address: SocketAddr,
         token: Token,
         fleet: Arc<CurrentFleet>,
+        drains: Arc<CurrentDrains>,
     ) -> Rc<Self> {
         let settings =
             ExchangeSettings { delay: STORE_READ_TIME, retry_interval: FETCH_RETRY_INTERVAL };
@@ -71,9 +75,11 @@
         Rc::new(Self {
             name,
             incarnation,
+            centre,
             address,
             token,
             fleet,
+            drains,
             configured: RefCell::default(),
             known: RefCell::default(),
             exchange,
@@ -141,6 +147,11 @@
         None
     }
 
+    /// Handles the drained data centres known to an agent.
+    pub fn on_drains(&self, drains: &Drains) {
+        self.drains.offer(drains);
+    }
+
     /// Handles a configuration from an agent.
     pub fn on_document(&self, from: &Name, version: u64, document: &str) {
         self.fleet.offer(version, document);
@@ -177,8 +188,8 @@
             config: document.map(|d| d.text),
             surplus: false,
             entries_digest: 0,
-            centre: "".into(),
-            drains: Drains::default(),
+            centre: self.centre.clone(),
+            drains: self.drains.get(),
         }
     }
 
@@ -239,6 +250,8 @@
         if let Some(last) = self.known.borrow().get(&entry) {
             last.set(uptime());
         }
+        // before the configuration: an entry that has one serves jobs
+        self.drains.offer(&welcome.drains);
         if let Some(document) = &welcome.config {
             self.fleet.offer(welcome.config_version, document);
         }
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -43,6 +43,7 @@
     endings: Family<ByEnding, Counter>,
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
+    pub drained_centres: Gauge<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -63,8 +64,14 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let drained_centres = Gauge::default();
+        registry.register(
+            "drained_centres",
+            "Data centres that operators have drained",
+            drained_centres.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, jobs, seconds, endings, config_version, links }
+        Self { registry, jobs, seconds, endings, config_version, drained_centres, links }
     }
 }
 
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -10,6 +10,25 @@
     pub ready: bool,
     pub agents: Vec<AgentReport>,
     pub jobs: Vec<JobReport>,
+    /// drained data centres
+    pub drains: Vec<DrainReport>,
+}
+
+/// A drained data centre, and what still runs there by the newest reports of its
+/// agents to this entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DrainReport {
+    pub centre: Name,
+    /// version of the operators' row
+    pub version: u64,
+    /// when an entry first saw that row, Unix time
+    pub since_ms: u64,
+    /// agents of the data centre that this entry knows
+    pub agents: usize,
+    /// agents whose backend servers have runs
+    pub busy_agents: usize,
+    /// capacity that these runs use, millicores
+    pub used_cpu: u64,
 }
 
 /// Status of an agent by its newest heartbeat or reply.
@@ -17,6 +36,7 @@
 pub struct AgentReport {
     pub name: Name,
     pub service: Name,
+    pub centre: Name,
     pub incarnation: u64,
     /// version of the configuration in force there
     pub version: u64,
--- a/crates/dispatch/src/rpc.rs
+++ b/crates/dispatch/src/rpc.rs
@@ -56,6 +56,8 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let hello = read_hello(params.get_hello()?).map_err(to_rpc_error)?;
+        // before the agent is known, so that no task is sent to a drained one
+        self.gossip.on_drains(&hello.drains);
         if let Some(document) = &hello.config {
             self.gossip.on_document(&hello.name, hello.config_version, document);
         }
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -2,6 +2,7 @@
 
 use base::{Event, Name, now_us, uptime};
 use conf::{CurrentFleet, DispatchSettings};
+use drain::CurrentDrains;
 use entry::{Endpoints, EntryList, Registrar};
 use lease::{LeaseTimings, SessionId};
 use placement::{ObjectiveSettings, PlacerSettings};
@@ -17,6 +18,7 @@
 pub struct EntryRuntime {
     pub dispatcher: Rc<JobDispatcher>,
     pub fleet: Arc<CurrentFleet>,
+    pub drains: Arc<CurrentDrains>,
     pub status: Arc<Status>,
     name: Name,
     gossip: Rc<Gossip>,
@@ -37,17 +39,24 @@
         table: Rc<dyn Table>,
     ) -> std::io::Result<Rc<Self>> {
         let fleet = Arc::<CurrentFleet>::default();
+        let drains = Arc::<CurrentDrains>::default();
         let incarnation = now_us();
         let (name, token) = (settings.name.clone(), settings.token.clone());
         let gossip = Gossip::new(
             name.clone(),
             incarnation,
+            settings.centre.clone(),
             settings.advertised_rpc(),
             token.clone(),
             fleet.clone(),
+            drains.clone(),
+        );
+        let agents = Agents::new(
+            settings.advertised_rpc(),
+            settings.circle,
+            timings.report_timeout(),
+            drains.clone(),
         );
-        let agents =
-            Agents::new(settings.advertised_rpc(), settings.circle, timings.report_timeout());
         let dispatcher_settings = DispatcherSettings {
             timings,
             session: SessionId::of(&name, incarnation),
@@ -65,7 +74,7 @@
             Endpoints { name: name.clone(), http: settings.http, rpc: settings.advertised_rpc() };
         let peers = Arc::<EntryList>::default();
         actix::spawn(Registrar::new(table, peers.clone(), place, incarnation).run());
-        let runtime = Rc::new(Self { dispatcher, fleet, status, name, gossip, agents });
+        let runtime = Rc::new(Self { dispatcher, fleet, drains, status, name, gossip, agents });
         runtime.set_entries(settings);
         actix::spawn(runtime.clone().keep_status(peers));
         Ok(runtime)
@@ -83,6 +92,7 @@
             ready: self.status.is_ready(),
             agents: self.agents.report(),
             jobs: self.dispatcher.report(),
+            drains: self.agents.report_drains(),
         }
     }
 
@@ -90,7 +100,9 @@
         let mut is_stopping = false;
         let mut is_closed = false;
         loop {
-            self.dispatcher.metrics().config_version.set(self.fleet.version());
+            let metrics = self.dispatcher.metrics();
+            metrics.config_version.set(self.fleet.version());
+            metrics.drained_centres.set(self.drains.len() as u64);
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
--- a/crates/dispatch/tests/gossip.rs
+++ b/crates/dispatch/tests/gossip.rs
@@ -19,7 +19,7 @@
         fleet.offer(version, DOCUMENT);
     }
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    Gossip::new("entry".into(), 1, address, Token::default(), fleet)
+    Gossip::new("entry".into(), 1, "z1".into(), address, Token::default(), fleet, Arc::default())
 }
 
 /// Heartbeat of an agent with a version, that has seen `seen`.
