ctl: egretctl drained

Operators need to see when a drained data centre is empty. The query lists each drained data centre, since when, its agents, those with runs, and the capacity in use, by what the entry knows from load reports.

--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -1,3 +1,4 @@
+use base::Utc;
 use bpaf::{Parser, long};
 use serde::{Deserialize, Serialize};
 
@@ -12,12 +13,33 @@
     ready: bool,
     agents: Vec<Agent>,
     jobs: Vec<Job>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    drains: Vec<Drain>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Drains(Vec<Drain>);
+
+/// A drained data centre and what still runs there.
+#[derive(Serialize, Deserialize)]
+struct Drain {
+    centre: String,
+    version: u64,
+    since_ms: u64,
+    agents: usize,
+    busy_agents: usize,
+    used_cpu: u64,
 }
 
 #[derive(Serialize, Deserialize)]
 struct Agent {
     name: String,
     service: String,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    centre: String,
     incarnation: u64,
     version: u64,
     ready: bool,
@@ -95,6 +117,21 @@
     }
 }
 
+impl Rows for Drains {
+    const TITLES: &'static [&'static str] =
+        &["CENTRE", "SINCE", "AGENTS", "BUSY", "USED_CPU", "VERSION"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let row = |d: &Drain| {
+            let since = Utc(d.since_ms).to_string();
+            let numbers = [d.agents as u64, d.busy_agents as u64, d.used_cpu, d.version];
+            let numbers = numbers.map(|n| n.to_string());
+            [d.centre.clone(), since].into_iter().chain(numbers).collect()
+        };
+        self.0.iter().map(row).collect()
+    }
+}
+
 /// Which leased agents are listed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AgentFilter {
@@ -126,6 +163,11 @@
     format.print(&Jobs(jobs))
 }
 
+/// Lists the drained data centres known to an entry, and what still runs there.
+pub async fn drained(entry: &Entry, format: Format) -> Result<()> {
+    format.print(&Drains(fetch_report(entry).await?.drains))
+}
+
 async fn fetch_report(entry: &Entry) -> Result<Report> {
     entry.get("/admin/report").await?.json()
 }
