lease: start queued tasks by class, and report the wait of each class

Cause: an agent starts the queued task with the earliest latest start. Under shortage long tasks of queues with low priority therefore delay the short ones of the most urgent queue.

Change: the queue is ordered by class, data centre of the caller and latest start (queue.rs). While only class 0 was seen for 5 s, the order, the returns and the load report are those of before.

--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -100,6 +100,9 @@
     pub spec: Arc<str>,
     pub resources: Resources,
     pub estimate: Duration,
+    pub class: Class,
+    /// data centre of its entry
+    pub centre: Name,
     pub results: Vec<TaskResult>,
     pub pending: u32,
     pub started: bool,
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -15,10 +15,13 @@
 mod listing;
 mod load;
 mod order;
+mod plan;
+mod queue;
 mod resources;
 mod run;
 mod scheduler;
 mod session;
+mod shares;
 mod speed;
 mod timings;
 
@@ -29,7 +32,7 @@
 pub use class::{CLASSES, Class};
 pub use health::HealthSettings;
 pub use listing::{EndCause, Listing, RunEnd, RunProgress};
-pub use load::AgentLoad;
+pub use load::{AgentLoad, ClassStats};
 pub use order::{Effect, RefusalReason, RunKey, StartOrder, StartOutcome, StopOrder, TaskRef};
 pub use resources::Resources;
 pub use scheduler::{Scheduler, SchedulerSettings};
--- a/crates/lease/src/load.rs
+++ b/crates/lease/src/load.rs
@@ -26,3 +26,16 @@
         self.class_waits.map_or(self.expected_wait, |waits| waits[class.index()])
     }
 }
+
+/// Figures of one class at an agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClassStats {
+    /// tasks ordered to start so far, again after a failed start
+    pub started: u64,
+    /// tasks returned as not run so far
+    pub returned: u64,
+    /// tasks in the queue
+    pub waiting: usize,
+    /// share in the recent use of the backend server
+    pub share: f64,
+}
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -1,21 +1,19 @@
-use std::{
-    collections::{BTreeSet, HashMap},
-    mem,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, mem, sync::Arc, time::Duration};
 
 use base::{Event, Name, Uptime, invariant};
 use slotmap::SlotMap;
 
 use crate::{
-    AgentLoad, Batch, BatchLookup, BatchTask, Effect, EndCause, Ending, HealthSettings,
-    LeaseTimings, Listing, Progress, RefusalReason, Resources, RunEnd, RunKey, RunProgress,
-    SessionId, StartOrder, StartOutcome, StopOrder, TaskRef, TaskResult,
+    AgentLoad, Batch, BatchLookup, BatchTask, CLASSES, Class, ClassStats, Effect, EndCause, Ending,
+    HealthSettings, LeaseTimings, Listing, Progress, RefusalReason, Resources, RunEnd, RunKey,
+    RunProgress, SessionId, StartOrder, StartOutcome, StopOrder, TaskRef, TaskResult,
     batch::{BatchKey, BatchState},
     health::Health,
+    plan::{Occupancy, Plan},
+    queue::{Queue, Slot, Waiting},
     run::{ProgressTracker, Run, State, StopReason, Stopping},
     session::Session,
+    shares::{Shares, core_seconds},
     speed::Speed,
 };
 
@@ -42,6 +40,18 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Multiple of the longest step of a run after which it has stalled.
 const STALL_STEPS: u32 = 5;
+/// How long after the last task of a class other than 0 the order of starts and the
+/// load report still distinguish classes.
+const MIXED_PERIOD: Duration = Duration::from_secs(5);
+/// Expected time until a run ends whose stop was ordered.
+const STOP_TIME: Duration = Duration::from_millis(20);
+/// Least percentage of progress from which the end of a run is extrapolated.
+const EXTRAPOLATED_PERCENT: u32 = 10;
+/// Part of its expected run time that a run is expected to go on for at least,
+/// as estimates are too low by up to 40 %.
+const OVERRUN_DIVISOR: u32 = 10;
+/// The least that any run is expected to go on for.
+const MIN_REST: Duration = Duration::from_millis(1);
 
 /// Settings of a scheduler.
 #[derive(Clone, Debug)]
@@ -66,8 +76,13 @@
     barred: HashMap<(SessionId, u64), Uptime>,
     runs: SlotMap<RunKey, Run>,
     run_by_task: HashMap<TaskRef, RunKey>,
-    /// queued runs by their start deadline
-    queue: BTreeSet<(Uptime, RunKey)>,
+    queue: Queue,
+    shares: Shares,
+    /// until then the order and the load report distinguish classes
+    mixed_until: Uptime,
+    /// tasks ordered to start and tasks returned as not run, of each class
+    started: [u64; CLASSES],
+    returned: [u64; CLASSES],
     speed: Speed,
     health: Health,
     /// latest end of any lease given to the backend server
@@ -105,7 +120,11 @@
             barred: HashMap::new(),
             runs: SlotMap::with_key(),
             run_by_task: HashMap::new(),
-            queue: BTreeSet::new(),
+            queue: Queue::default(),
+            shares: Shares::default(),
+            mixed_until: Uptime::ZERO,
+            started: [0; CLASSES],
+            returned: [0; CLASSES],
             speed: Speed::default(),
             health: Health::default(),
             leased_until: Uptime::ZERO,
@@ -170,11 +189,18 @@
         }
         let session = self.sessions.entry(id).or_insert_with(|| {
             Event::SessionOpened.note(&[("entry", (&**name).into()), ("session", id.0.into())]);
-            Session { name: name.clone(), last_seen: at }
+            Session { name: name.clone(), centre: Name::default(), last_seen: at }
         });
         session.last_seen = session.last_seen.max(at);
     }
 
+    /// Sets the data centre of an entry, if it has a session.
+    pub fn set_centre(&mut self, id: SessionId, centre: &Name) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.centre = centre.clone();
+        }
+    }
+
     /// Whether an entry has tasks queued or running here.
     pub fn has_open_work(&self, id: SessionId) -> bool {
         self.batches.values().any(|b| b.session == id && b.pending > 0)
@@ -213,6 +239,11 @@
             self.run_by_task.contains_key(&task)
         };
         let started = tasks.iter().any(is_here);
+        let class = batch.class;
+        if class > Class::default() {
+            self.mixed_until = now + MIXED_PERIOD;
+        }
+        let centre = self.sessions.get(&id).map(|s| s.centre.clone()).unwrap_or_default();
         let key = self.batches.insert(BatchState {
             session: id,
             number: batch.number,
@@ -220,6 +251,8 @@
             spec: batch.spec,
             resources: batch.resources,
             estimate: batch.estimate,
+            class,
+            centre,
             results: Vec::new(),
             pending: tasks.len() as u32,
             started,
@@ -229,6 +262,9 @@
         self.batch_by_number.insert((id, batch.number), key);
         let mut queued = 0u32;
         for task in &tasks {
+            if self.queue.len() >= self.settings.max_queued {
+                self.evict_behind(class, now);
+            }
             match self.refusal(id, key, *task, start_deadline, now) {
                 Some(reason) => self.reject(key, *task, reason, now),
                 None => {
@@ -428,7 +464,7 @@
     pub fn next_due(&self, now: Uptime) -> Uptime {
         let ttl = self.settings.timings.session_ttl;
         let sessions = self.sessions.values().map(|s| s.last_seen + ttl);
-        let deadline = self.queue.first().map(|(deadline, _)| *deadline);
+        let deadline = self.queue.first().map(|(deadline, _)| deadline);
         let start = (!self.queue.is_empty() && self.next_start > now).then_some(self.next_start);
         let expiry = self.is_busy().then(|| self.lease_expiry());
         let stops = self.runs.values().filter_map(|r| match r.state {
@@ -461,10 +497,21 @@
             expected_wait: self.expected_wait(Uptime::MAX),
             slowness: self.speed.slowness(),
             suspect: self.health.is_suspect(),
-            class_waits: None,
+            class_waits: self.is_mixed(now).then(|| self.class_waits(now)),
         }
     }
 
+    /// Figures of each class, for the metrics.
+    pub fn class_stats(&self) -> [ClassStats; CLASSES] {
+        let (waiting, shares) = (self.queue.counts(), self.shares.ratios());
+        std::array::from_fn(|class| ClassStats {
+            started: self.started[class],
+            returned: self.returned[class],
+            waiting: waiting[class],
+            share: shares[class],
+        })
+    }
+
     /// Queued tasks and active runs.
     pub fn counts(&self) -> (usize, usize) {
         (self.queue.len(), self.active_runs().count())
@@ -535,51 +582,132 @@
     }
 
     fn return_overdue(&mut self, now: Uptime) {
-        while let Some((deadline, key)) = self.queue.first().copied().filter(|(d, _)| *d < now) {
-            self.queue.remove(&(deadline, key));
-            self.end_run(key, Ending::NotRun, "no room in time", now);
+        while let Some(slot) = self.queue.first().filter(|(deadline, _)| *deadline < now) {
+            self.queue.remove(slot);
+            self.end_run(slot.1, Ending::NotRun, "no room in time", now);
         }
     }
 
-    /// Returns tasks that can't start in time because of those queued before
+    /// Returns tasks that can't start in time because of those that start before
     /// them, while they can still end in time elsewhere.
     fn return_hopeless(&mut self, now: Uptime) {
-        let mut ahead = 0.0;
-        let mut hopeless = Vec::new();
-        for (deadline, key) in &self.queue {
-            let Some(run) = self.runs.get(*key) else { continue };
-            let cpu = f64::from(self.resources_of(run).cpu);
-            if now + self.time_to_free(ahead + cpu) > *deadline {
-                hopeless.push((*deadline, *key));
-            } else {
-                ahead += cpu;
-            }
+        for slot in self.hopeless(now) {
+            self.queue.remove(slot);
+            self.end_run(slot.1, Ending::NotRun, "no room expected in time", now);
         }
-        for entry in hopeless {
-            self.queue.remove(&entry);
-            self.end_run(entry.1, Ending::NotRun, "no room expected in time", now);
+    }
+
+    fn hopeless(&self, now: Uptime) -> Vec<Slot> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        if self.is_mixed(now) {
+            let mut plan = self.plan(now);
+            let planned = std::iter::from_fn(|| plan.next());
+            return planned.filter(|p| p.start.is_none()).map(|p| p.slot).collect();
         }
+        let free = self.free();
+        let mut ahead = 0.0;
+        let is_hopeless = |(deadline, key): &Slot| {
+            let Some(run) = self.runs.get(*key) else { return false };
+            let cpu = f64::from(self.resources_of(run).cpu);
+            let is_late = now + self.time_to_free(ahead + cpu, free) > *deadline;
+            ahead += if is_late { 0.0 } else { cpu };
+            is_late
+        };
+        self.queue.iter().filter(is_hopeless).collect()
     }
 
     fn start_queued(&mut self, now: Uptime) {
         if self.unready_reason().is_some() || self.next_start > now {
             return;
         }
-        while let Some((deadline, key)) = self.queue.first().copied() {
-            let Some(run) = self.runs.get(key) else {
-                invariant!(false, "queue holds an unknown run");
-                self.queue.remove(&(deadline, key));
-                continue;
-            };
-            let resources = self.resources_of(run);
+        for (slot, resources) in self.next_starts(now) {
+            let (_, key) = slot;
             if !resources.fits(self.free()) || self.renew_lease(now).is_none() {
                 return;
             }
-            self.queue.remove(&(deadline, key));
+            self.queue.remove(slot);
             self.order_start(key, now);
         }
     }
 
+    /// The queued runs that start now, in order, and what they need.
+    fn next_starts(&self, now: Uptime) -> Vec<(Slot, Resources)> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        if self.is_mixed(now) {
+            let mut plan = self.plan(now);
+            // those that can't start in time are returned, and delay no other
+            let planned = std::iter::from_fn(|| plan.next()).filter(|p| p.start.is_some());
+            let next = planned.take_while(|p| p.start.is_some_and(|start| start <= now));
+            return next.map(|p| (p.slot, p.resources)).collect();
+        }
+        let mut free = self.free();
+        let needs = |slot: Slot| Some((slot, self.resources_of(self.runs.get(slot.1)?)));
+        let fits = |(_, resources): &(Slot, Resources)| {
+            let fits = resources.fits(free);
+            free = free.minus(*resources);
+            fits
+        };
+        self.queue.iter().filter_map(needs).take_while(fits).collect()
+    }
+
+    /// Whether tasks of several classes compete, or did so lately.
+    fn is_mixed(&self, now: Uptime) -> bool {
+        now < self.mixed_until || self.queue.counts()[1..].iter().any(|count| *count > 0)
+    }
+
+    /// Order and expected times of the starts of the queued runs.
+    fn plan(&self, now: Uptime) -> Plan<'_> {
+        let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
+        let mut occupancy = Occupancy {
+            at: now.max(self.next_start),
+            capacity,
+            free: self.free(),
+            ..Occupancy::default()
+        };
+        for run in self.runs.values().filter(|r| r.is_active()) {
+            occupancy.add_run(self.expected_end(run, now), self.resources_of(run));
+        }
+        Plan::new(&self.queue, &self.shares, occupancy, self.speed.slowness())
+    }
+
+    /// Expected end of an active run: by its progress, else by its estimate.
+    fn expected_end(&self, run: &Run, now: Uptime) -> Uptime {
+        if let State::Stopping(_) = run.state {
+            return now + STOP_TIME;
+        }
+        let ProgressTracker { percent, changed_at, .. } = run.progress;
+        let run_time = if percent >= EXTRAPOLATED_PERCENT {
+            changed_at.saturating_sub(run.ordered_at).mul_f64(100.0 / f64::from(percent))
+        } else {
+            let estimate = self.batches.get(run.batch).map(|b| b.estimate).unwrap_or_default();
+            self.expected_run_time(estimate)
+        };
+        (run.ordered_at + run_time).max(now + (run_time / OVERRUN_DIVISOR).max(MIN_REST))
+    }
+
+    fn expected_run_time(&self, estimate: Duration) -> Duration {
+        estimate.mul_f64(self.speed.slowness())
+    }
+
+    /// Expected wait of one more task of each class, of the mean size of the
+    /// active runs.
+    fn class_waits(&self, now: Uptime) -> [Duration; CLASSES] {
+        let resources = Resources { cpu: self.mean_cpu() as u32, ..Resources::default() };
+        self.plan(now).class_starts(resources).map(|start| start.saturating_sub(now))
+    }
+
+    /// Makes room in a full queue for a task, by returning the last one of the least
+    /// urgent class, if that is less urgent.
+    fn evict_behind(&mut self, class: Class, now: Uptime) {
+        let Some(slot) = self.queue.last_behind(class) else { return };
+        self.queue.remove(slot);
+        self.end_run(slot.1, Ending::NotRun, "queue is full", now);
+    }
+
     fn order_start(&mut self, key: RunKey, now: Uptime) {
         let Some(run) = self.runs.get_mut(key) else { return };
         let Some(batch) = self.batches.get_mut(run.batch) else { return };
@@ -591,6 +719,13 @@
         run.state = State::Starting;
         run.ordered_at = now;
         batch.started = true;
+        let (class, centre) = (batch.class, batch.centre.clone());
+        let run_time = batch.estimate.mul_f64(self.speed.slowness());
+        self.shares.record(class, &centre, core_seconds(batch.resources.cpu, run_time), now);
+        self.started[class.index()] += 1;
+        if class > Class::default() {
+            self.mixed_until = now + MIXED_PERIOD;
+        }
         self.effects.push(Effect::Start(StartOrder {
             key,
             task: run.task.clone(),
@@ -636,7 +771,14 @@
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Queued;
         run.progress = ProgressTracker::default();
-        self.queue.insert((run.start_deadline, key));
+        let (slot, batch) = ((run.start_deadline, key), run.batch);
+        self.push_queued(slot, batch);
+    }
+
+    fn push_queued(&mut self, slot: Slot, batch: BatchKey) {
+        let Some(batch) = self.batches.get(batch) else { return };
+        let waiting = Waiting { resources: batch.resources, estimate: batch.estimate };
+        self.queue.insert(slot, batch.class, &batch.centre, waiting);
     }
 
     fn retry_stops(&mut self, now: Uptime) {
@@ -698,6 +840,10 @@
         if self.queue.len() >= self.settings.max_queued {
             return Some("queue is full");
         }
+        // of several classes, the order decides once the whole batch is queued
+        if self.is_mixed(now) {
+            return None;
+        }
         let fits = self.queue.is_empty() && batch.resources.fits(self.free());
         if !fits && now + self.expected_wait(start_deadline) > start_deadline {
             return Some("no room in time");
@@ -711,17 +857,17 @@
             .queue
             .iter()
             .take_while(|(deadline, _)| *deadline <= start_deadline)
-            .filter_map(|(_, key)| self.runs.get(*key))
+            .filter_map(|(_, key)| self.runs.get(key))
             .map(|run| f64::from(self.resources_of(run).cpu))
             .sum();
         // the task itself counts with the mean of the active runs
-        self.time_to_free(ahead + self.mean_cpu())
+        self.time_to_free(ahead + self.mean_cpu(), self.free())
     }
 
-    /// Expected time until `cpu` millicores are free.
-    fn time_to_free(&self, cpu: f64) -> Duration {
+    /// Expected time until `cpu` millicores are free, with `free` now.
+    fn time_to_free(&self, cpu: f64, free: Resources) -> Duration {
         let Some(backend) = &self.backend else { return Duration::ZERO };
-        let missing = (cpu - f64::from(self.free().cpu)).max(0.0);
+        let missing = (cpu - f64::from(free.cpu)).max(0.0);
         self.speed.mean().mul_f64(missing / f64::from(backend.capacity.cpu.max(1)))
     }
 
@@ -746,7 +892,7 @@
             progress: ProgressTracker::default(),
         });
         self.run_by_task.insert(task_ref, key);
-        self.queue.insert((start_deadline, key));
+        self.push_queued((start_deadline, key), batch);
     }
 
     /// Handles a run that the backend server lists as running. False for an
@@ -868,7 +1014,7 @@
         let Some(run) = self.runs.get_mut(key) else { return };
         match &mut run.state {
             State::Queued => {
-                self.queue.remove(&(run.start_deadline, key));
+                self.queue.remove((run.start_deadline, key));
                 self.end_run(key, Ending::NotRun, reason.as_str(), now);
             }
             State::Stopping(stopping) => {
@@ -883,7 +1029,7 @@
 
     /// Returns all queued tasks to their entries.
     fn return_queued(&mut self, reason: &str, now: Uptime) {
-        for (_, key) in mem::take(&mut self.queue) {
+        for (_, key) in self.queue.take_all() {
             self.end_run(key, Ending::NotRun, reason, now);
         }
     }
@@ -966,6 +1112,9 @@
         let Some(batch) = self.batches.get_mut(key) else { return };
         invariant!(batch.pending > 0, "more results than tasks in a batch of {}", batch.job);
         batch.pending = batch.pending.saturating_sub(1);
+        if result.ending == Ending::NotRun {
+            self.returned[batch.class.index()] += 1;
+        }
         if batch.pending == 0 {
             batch.ended_at = Some(now);
             batch.spec = Arc::default();
--- a/crates/lease/src/session.rs
+++ b/crates/lease/src/session.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Session {
     pub name: Name,
+    /// data centre of the entry; empty while it is not known
+    pub centre: Name,
     /// latest time at which the entry is known to have been alive
     pub last_seen: Uptime,
 }
