lease: return a task early only if it misses its start even when runs end early

Cause: estimates are off by up to 40 %. A task of the most urgent class that is returned too early leaves capacity that becomes free to less urgent tasks.

--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -50,6 +50,11 @@
 /// Part of its expected run time that a run is expected to go on for at least,
 /// as estimates are too low by up to 40 %.
 const OVERRUN_DIVISOR: u32 = 10;
+/// Part of their expected run time that runs take at least, as estimates are too
+/// high by up to 40 %. A task is returned early only if it could not start in time
+/// even then: a task that is returned too early loses capacity that becomes free
+/// to less urgent ones.
+const LEAST_RUN_TIME: f64 = 0.6;
 /// The least that any run is expected to go on for.
 const MIN_REST: Duration = Duration::from_millis(1);
 
@@ -602,7 +607,7 @@
             return Vec::new();
         }
         if self.is_mixed(now) {
-            let mut plan = self.plan(now);
+            let mut plan = self.plan(LEAST_RUN_TIME, now);
             let planned = std::iter::from_fn(|| plan.next());
             return planned.filter(|p| p.start.is_none()).map(|p| p.slot).collect();
         }
@@ -638,7 +643,7 @@
             return Vec::new();
         }
         if self.is_mixed(now) {
-            let mut plan = self.plan(now);
+            let mut plan = self.plan(LEAST_RUN_TIME, now);
             // those that can't start in time are returned, and delay no other
             let planned = std::iter::from_fn(|| plan.next()).filter(|p| p.start.is_some());
             let next = planned.take_while(|p| p.start.is_some_and(|start| start <= now));
@@ -660,7 +665,7 @@
     }
 
     /// Order and expected times of the starts of the queued runs.
-    fn plan(&self, now: Uptime) -> Plan<'_> {
+    fn plan(&self, run_factor: f64, now: Uptime) -> Plan<'_> {
         let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
         let mut occupancy = Occupancy {
             at: now.max(self.next_start),
@@ -669,13 +674,13 @@
             ..Occupancy::default()
         };
         for run in self.runs.values().filter(|r| r.is_active()) {
-            occupancy.add_run(self.expected_end(run, now), self.resources_of(run));
+            occupancy.add_run(self.expected_end(run, run_factor, now), self.resources_of(run));
         }
-        Plan::new(&self.queue, &self.shares, occupancy, self.speed.slowness())
+        Plan::new(&self.queue, &self.shares, occupancy, self.speed.slowness() * run_factor)
     }
 
     /// Expected end of an active run: by its progress, else by its estimate.
-    fn expected_end(&self, run: &Run, now: Uptime) -> Uptime {
+    fn expected_end(&self, run: &Run, run_factor: f64, now: Uptime) -> Uptime {
         if let State::Stopping(_) = run.state {
             return now + STOP_TIME;
         }
@@ -684,7 +689,7 @@
             changed_at.saturating_sub(run.ordered_at).mul_f64(100.0 / f64::from(percent))
         } else {
             let estimate = self.batches.get(run.batch).map(|b| b.estimate).unwrap_or_default();
-            self.expected_run_time(estimate)
+            self.expected_run_time(estimate).mul_f64(run_factor)
         };
         (run.ordered_at + run_time).max(now + (run_time / OVERRUN_DIVISOR).max(MIN_REST))
     }
@@ -697,7 +702,7 @@
     /// active runs.
     fn class_waits(&self, now: Uptime) -> [Duration; CLASSES] {
         let resources = Resources { cpu: self.mean_cpu() as u32, ..Resources::default() };
-        self.plan(now).class_starts(resources).map(|start| start.saturating_sub(now))
+        self.plan(1.0, now).class_starts(resources).map(|start| start.saturating_sub(now))
     }
 
     /// Makes room in a full queue for a task, by returning the last one of the least
--- /dev/null
+++ b/crates/lease/tests/classes.rs
@@ -0,0 +1,335 @@
+//! One agent whose callers compete for a backend server of 16 cores: the order of
+//! starts by class and by data centre of the callers, and the expected waits.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use base::Uptime;
+use lease::{
+    AgentLoad, Batch, BatchKey, BatchTask, CLASSES, Class, Effect, EndCause, Ending,
+    HealthSettings, LeaseBounds, LeaseTimings, Listing, Resources, RunEnd, RunProgress, Scheduler,
+    SchedulerSettings, SessionId, StartOutcome, TaskRef,
+};
+use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const CORES: f64 = 16.0;
+const TASK_CPU: u32 = 1800;
+const STEP: Duration = Duration::from_millis(1);
+const LISTING_INTERVAL_MS: u64 = 50;
+const REPORT_INTERVAL_MS: u64 = 10;
+
+/// Tasks of one kind that the callers of one data centre submit.
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    class: usize,
+    centre: &'static str,
+    /// offered work as a multiple of the capacity
+    load: f64,
+    run_ms: u64,
+    max_wait_ms: u64,
+    /// from and until these seconds
+    period: (u64, u64),
+}
+
+impl Flow {
+    const fn new(class: usize, load: f64, run_ms: u64, max_wait_ms: u64) -> Self {
+        Self { class, centre: "", load, run_ms, max_wait_ms, period: (0, u64::MAX) }
+    }
+
+    const fn from(self, centre: &'static str) -> Self {
+        Self { centre, ..self }
+    }
+
+    const fn during(self, from: u64, until: u64) -> Self {
+        Self { period: (from, until), ..self }
+    }
+}
+
+/// What became of the tasks of one flow.
+#[derive(Clone, Debug, Default)]
+struct Outcome {
+    submitted: u32,
+    done: u32,
+    /// core-seconds, and those of each second
+    work: f64,
+    work_by_second: BTreeMap<u64, f64>,
+    waits: Vec<Duration>,
+    /// reported waits of its class
+    reported: Vec<Duration>,
+}
+
+impl Outcome {
+    fn done_share(&self) -> f64 {
+        f64::from(self.done) / f64::from(self.submitted.max(1))
+    }
+
+    /// Share of the capacity over a number of seconds.
+    fn share(&self, seconds: u64) -> f64 {
+        self.work / CORES / seconds as f64
+    }
+}
+
+/// Whether batches carry the class of their flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    ByClass,
+    /// baseline: all are of class 0
+    LatestStartOnly,
+}
+
+struct Task {
+    flow: usize,
+    arrived_at: Uptime,
+    run_time: Duration,
+    estimate: Duration,
+}
+
+struct Simulation {
+    rng: StdRng,
+    now: Uptime,
+    scheduler: Scheduler,
+    flows: Vec<Flow>,
+    outcomes: Vec<Outcome>,
+    order: Order,
+    /// session of each data centre
+    sessions: Vec<(&'static str, SessionId)>,
+    number: u64,
+    tasks: HashMap<TaskRef, Task>,
+    /// number, start and end
+    running: BTreeMap<TaskRef, (u32, Uptime, Uptime)>,
+    ended: Vec<RunEnd>,
+    last_end: u64,
+    open: Vec<(TaskRef, BatchKey)>,
+    /// tasks without a place, and the least number of their next run
+    unplaced: Vec<(TaskRef, u32)>,
+    /// class and start of each run
+    starts: Vec<(usize, Uptime)>,
+    loads: Vec<AgentLoad>,
+}
+
+fn scheduler(now: Uptime, max_queued: usize) -> Scheduler {
+    let timings = LeaseTimings::new(&LeaseBounds::default()).expect("defaults are valid");
+    let health = HealthSettings::default();
+    let mut scheduler = Scheduler::new(SchedulerSettings { timings, health, max_queued });
+    let capacity = Resources { cpu: (CORES * 1000.0) as u32, memory: 100_000, gpu: 0 };
+    scheduler.on_announcement(1, capacity, false, now);
+    let listing = Listing { requested_at: now, started_ms: 1, ..Listing::default() };
+    scheduler.on_listing(&listing, now);
+    scheduler
+}
+
+impl Simulation {
+    fn new(flows: &[Flow], order: Order) -> Self {
+        let now = Duration::from_secs(100);
+        let mut sessions: Vec<(&'static str, SessionId)> = Vec::new();
+        for flow in flows {
+            if sessions.iter().all(|(centre, _)| *centre != flow.centre) {
+                sessions.push((flow.centre, SessionId(1 + sessions.len() as u64)));
+            }
+        }
+        Self {
+            rng: StdRng::seed_from_u64(7),
+            now,
+            scheduler: scheduler(now, 1024),
+            flows: flows.to_vec(),
+            outcomes: vec![Outcome::default(); flows.len()],
+            order,
+            sessions,
+            number: 0,
+            tasks: HashMap::new(),
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            open: Vec::new(),
+            unplaced: Vec::new(),
+            starts: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    fn run(mut self, seconds: u64) -> Self {
+        for step in 0..seconds * 1000 {
+            self.now += STEP;
+            for (centre, id) in &self.sessions {
+                self.scheduler.extend_session(*id, &"entry".into(), self.now, self.now);
+                self.scheduler.set_centre(*id, &(*centre).into());
+            }
+            self.submit(step);
+            self.end_runs(step);
+            self.apply(step);
+            if step % REPORT_INTERVAL_MS == 0 {
+                let load = self.scheduler.load(self.now);
+                self.loads.push(load);
+                for (flow, outcome) in self.flows.iter().zip(&mut self.outcomes) {
+                    outcome.reported.push(load.wait(Class::from_rank(flow.class)));
+                }
+            }
+        }
+        self
+    }
+
+    fn submit(&mut self, step: u64) {
+        for i in 0..self.flows.len() {
+            let flow = self.flows[i];
+            let task_work = f64::from(TASK_CPU) / 1000.0 * flow.run_ms as f64 / 1000.0;
+            let rate = flow.load * CORES / task_work / 1000.0;
+            let is_due = (flow.period.0 * 1000..flow.period.1.saturating_mul(1000)).contains(&step);
+            if !is_due {
+                continue;
+            }
+            let mut count = rate as u32;
+            count += u32::from(self.rng.random_bool(rate.fract()));
+            for _ in 0..count {
+                self.add_task(i, flow);
+            }
+        }
+        // entries try again with each load report
+        if step % REPORT_INTERVAL_MS == 0 {
+            for (task, run) in std::mem::take(&mut self.unplaced) {
+                self.place(task, run);
+            }
+        }
+    }
+
+    fn add_task(&mut self, i: usize, flow: Flow) {
+        self.number += 1;
+        let task = TaskRef { job: self.number.to_string().as_str().into(), index: 0 };
+        let run_time =
+            Duration::from_millis(flow.run_ms).mul_f64(self.rng.random_range(0.85..1.15));
+        let estimate = run_time.mul_f64(self.rng.random_range(0.6..1.4));
+        let arrived_at = self.now;
+        self.tasks.insert(task.clone(), Task { flow: i, arrived_at, run_time, estimate });
+        self.outcomes[i].submitted += 1;
+        self.place(task, 1);
+    }
+
+    fn place(&mut self, task: TaskRef, run: u32) {
+        let it = &self.tasks[&task];
+        let flow = &self.flows[it.flow];
+        let latest_start = it.arrived_at + Duration::from_millis(flow.max_wait_ms);
+        let Some(max_wait) = latest_start.checked_sub(self.now) else { return };
+        let class = match self.order {
+            Order::ByClass => Class::from_rank(flow.class),
+            Order::LatestStartOnly => Class::default(),
+        };
+        self.number += 1;
+        let batch = Batch {
+            number: self.number,
+            job: task.job.clone(),
+            spec: "".into(),
+            resources: Resources { cpu: TASK_CPU, memory: 64, gpu: 0 },
+            estimate: it.estimate,
+            class,
+            max_wait,
+            time_left: Duration::from_secs(10),
+            tasks: vec![BatchTask { index: 0, run }],
+        };
+        let session = self.sessions.iter().find(|(centre, _)| *centre == flow.centre);
+        let id = session.expect("each flow has a session").1;
+        let key = self.scheduler.place(id, batch, self.now);
+        self.open.push((task, key));
+    }
+
+    fn end_runs(&mut self, step: u64) {
+        let now = self.now;
+        let due = self.running.iter().filter(|(_, (_, _, end))| *end <= now);
+        let due: Vec<TaskRef> = due.map(|(task, _)| task.clone()).collect();
+        for task in due {
+            let Some((run, ..)) = self.running.remove(&task) else { continue };
+            self.last_end += 1;
+            let sequence = self.last_end;
+            self.ended.push(RunEnd { sequence, task, run, cause: EndCause::Done });
+        }
+        self.scheduler.renew_lease(now);
+        if self.ended.is_empty() && step % LISTING_INTERVAL_MS != 0 {
+            return self.scheduler.tick(now);
+        }
+        let running = self.running.iter().map(|(task, (run, start, end))| {
+            let share = (now - *start).as_secs_f64() / (*end - *start).as_secs_f64();
+            RunProgress { task: task.clone(), run: *run, percent: (share * 100.0) as u32 }
+        });
+        let running = running.collect();
+        let ended = std::mem::take(&mut self.ended);
+        let listing = Listing { requested_at: now, started_ms: 1, running, ended };
+        self.scheduler.on_listing(&listing, now);
+    }
+
+    fn apply(&mut self, step: u64) {
+        let now = self.now;
+        for effect in self.scheduler.take_effects() {
+            let Effect::Start(order) = effect else { continue };
+            let Task { flow: i, arrived_at, run_time, .. } = self.tasks[&order.task];
+            let work = run_time.as_secs_f64() * f64::from(TASK_CPU) / 1000.0;
+            let outcome = &mut self.outcomes[i];
+            outcome.work += work;
+            *outcome.work_by_second.entry(step / 1000).or_default() += work;
+            outcome.waits.push(now - arrived_at);
+            self.starts.push((self.flows[i].class, now));
+            self.running.insert(order.task, (order.run, now, now + run_time));
+            assert!(self.scheduler.lease_for_start(order.key, now).is_some());
+            self.scheduler.on_start_outcome(order.key, StartOutcome::Accepted, now);
+        }
+        let used = self.running.len() as f64 * f64::from(TASK_CPU) / 1000.0;
+        assert!(used <= CORES, "{used} cores in use");
+        let (scheduler, outcomes) = (&self.scheduler, &mut self.outcomes);
+        let (tasks, unplaced) = (&self.tasks, &mut self.unplaced);
+        self.open.retain(|(task, key)| {
+            let Some(progress) = scheduler.progress(*key, 0, now) else { return true };
+            let result = &progress.results[0];
+            match result.ending {
+                Ending::Done => outcomes[tasks[task].flow].done += 1,
+                Ending::NotRun => unplaced.push((task.clone(), result.run + 1)),
+                ending => panic!("{task} {ending:?}"),
+            }
+            false
+        });
+    }
+}
+
+fn mean(waits: &[Duration]) -> Duration {
+    waits.iter().sum::<Duration>() / waits.len().max(1) as u32
+}
+
+#[test]
+fn explore() {
+    for order in [Order::ByClass, Order::LatestStartOnly] {
+        for (name, flows) in [
+            ("two", vec![Flow::new(0, 0.65, 60, 80), Flow::new(1, 0.65, 200, 150)]),
+            ("long flood", vec![Flow::new(0, 0.3, 60, 80), Flow::new(2, 2.0, 900, 500)]),
+            (
+                "urgent flood",
+                vec![
+                    Flow::new(0, 2.0, 60, 80),
+                    Flow::new(1, 0.5, 200, 150),
+                    Flow::new(2, 0.5, 900, 500),
+                ],
+            ),
+            (
+                "centres",
+                vec![
+                    Flow::new(0, 1.2, 60, 80).from("a"),
+                    Flow::new(0, 0.4, 60, 80).from("b"),
+                    Flow::new(1, 0.5, 200, 150),
+                ],
+            ),
+        ] {
+            let s = Simulation::new(&flows, order).run(20);
+            println!("== {order:?} {name}");
+            for (f, o) in flows.iter().zip(&s.outcomes) {
+                println!(
+                    "class {} {:?} load {} done {:.3} share {:.3} wait {:?} reported {:?}",
+                    f.class,
+                    f.centre,
+                    f.load,
+                    o.done_share(),
+                    o.share(20),
+                    mean(&o.waits),
+                    mean(&o.reported)
+                );
+            }
+        }
+    }
+}
