lease: a refused start is not counted as use of its class

Cause: each refused start order, repeated every 20 ms while the backend server has no room, added to the use of its class, which then seemed served.

Change: the use is taken back when the order is refused.

Run: clippy and tests/classes.rs.

--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -719,11 +719,11 @@
         run.state = State::Starting;
         run.ordered_at = now;
         batch.started = true;
-        let (class, centre) = (batch.class, batch.centre.clone());
         let run_time = batch.estimate.mul_f64(self.speed.slowness());
-        self.shares.record(class, &centre, core_seconds(batch.resources.cpu, run_time), now);
-        self.started[class.index()] += 1;
-        if class > Class::default() {
+        let used = core_seconds(batch.resources.cpu, run_time);
+        self.shares.record(batch.class, &batch.centre, used, now);
+        self.started[batch.class.index()] += 1;
+        if batch.class > Class::default() {
             self.mixed_until = now + MIXED_PERIOD;
         }
         self.effects.push(Effect::Start(StartOrder {
@@ -742,6 +742,12 @@
             ("run", run.number.into()),
             ("why", format!("{reason:?}").as_str().into()),
         ]);
+        if let Some(batch) = self.batches.get(run.batch) {
+            // with the speed at the order, unless a run has ended meanwhile
+            let run_time = batch.estimate.mul_f64(self.speed.slowness());
+            let used = core_seconds(batch.resources.cpu, run_time);
+            self.shares.withdraw(batch.class, &batch.centre, used, run.ordered_at);
+        }
         match reason {
             RefusalReason::Room => {
                 self.next_start = now + START_RETRY_INTERVAL;
--- a/crates/lease/src/shares.rs
+++ b/crates/lease/src/shares.rs
@@ -25,14 +25,17 @@
 }
 
 impl Shares {
-    /// Records the start of a run.
+    /// Records a start at `now`.
     pub fn record(&mut self, class: Class, centre: &Name, core_seconds: f64, now: Uptime) {
         if windows(self.epoch, now) > MAX_WINDOWS {
             self.rescale(now);
         }
-        let used = core_seconds * self.weight(now);
-        self.classes[class.index()] += used;
-        *self.centres.entry((class, centre.clone())).or_default() += used;
+        self.add(class, centre, core_seconds * self.weight(now));
+    }
+
+    /// Takes a start at `at` back that was refused.
+    pub fn withdraw(&mut self, class: Class, centre: &Name, core_seconds: f64, at: Uptime) {
+        self.add(class, centre, -core_seconds * self.weight(at));
     }
 
     /// Scaled use of each class.
@@ -56,6 +59,13 @@
         self.classes.map(|used| if total > 0.0 { used / total } else { 0.0 })
     }
 
+    fn add(&mut self, class: Class, centre: &Name, used: f64) {
+        let of_class = &mut self.classes[class.index()];
+        *of_class = (*of_class + used).max(0.0);
+        let of_centre = self.centres.entry((class, centre.clone())).or_default();
+        *of_centre = (*of_centre + used).max(0.0);
+    }
+
     fn rescale(&mut self, now: Uptime) {
         let factor = (-windows(self.epoch, now)).exp();
         self.epoch = now;
--- a/crates/lease/tests/classes.rs
+++ b/crates/lease/tests/classes.rs
@@ -9,8 +9,8 @@
 use base::Uptime;
 use lease::{
     AgentLoad, Batch, BatchKey, BatchTask, CLASSES, Class, Effect, EndCause, Ending,
-    HealthSettings, LeaseBounds, LeaseTimings, Listing, Resources, RunEnd, RunProgress, Scheduler,
-    SchedulerSettings, SessionId, StartOutcome, TaskRef,
+    HealthSettings, LeaseBounds, LeaseTimings, Listing, RefusalReason, Resources, RunEnd,
+    RunProgress, Scheduler, SchedulerSettings, SessionId, StartOutcome, TaskRef,
 };
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -160,7 +160,7 @@
             self.submit(step);
             self.end_runs(step);
             self.apply(step);
-            if step % REPORT_INTERVAL_MS == 0 {
+            if step.is_multiple_of(REPORT_INTERVAL_MS) {
                 let load = self.scheduler.load(self.now);
                 self.loads.push(load);
                 for (flow, outcome) in self.flows.iter().zip(&mut self.outcomes) {
@@ -187,7 +187,7 @@
             }
         }
         // entries try again with each load report
-        if step % REPORT_INTERVAL_MS == 0 {
+        if step.is_multiple_of(REPORT_INTERVAL_MS) {
             for (task, run) in std::mem::take(&mut self.unplaced) {
                 self.place(task, run);
             }
@@ -244,7 +244,7 @@
             self.ended.push(RunEnd { sequence, task, run, cause: EndCause::Done });
         }
         self.scheduler.renew_lease(now);
-        if self.ended.is_empty() && step % LISTING_INTERVAL_MS != 0 {
+        if self.ended.is_empty() && !step.is_multiple_of(LISTING_INTERVAL_MS) {
             return self.scheduler.tick(now);
         }
         let running = self.running.iter().map(|(task, (run, start, end))| {
@@ -655,6 +655,27 @@
     assert_eq!(restarted.starts(), [3]);
 }
 
+// a backend server that refuses starts must not make its class seem served
+#[test]
+fn refused_starts_are_not_counted_as_use() {
+    let mut scene = Scene::new(100);
+    scene.place(Class::from_rank(1), 1000, LONG_WAIT);
+    for _ in 0..20 {
+        for effect in scene.scheduler.take_effects() {
+            let Effect::Start(order) = effect else { continue };
+            let refused = StartOutcome::Rejected(RefusalReason::Room);
+            scene.scheduler.on_start_outcome(order.key, refused, scene.now);
+        }
+        scene.advance(Duration::from_millis(20));
+    }
+    assert!(scene.scheduler.class_stats()[1].started >= 20);
+    scene.starts();
+    scene.place(Class::default(), 1000, LONG_WAIT);
+    scene.starts();
+    let shares = scene.scheduler.class_stats().map(|c| c.share);
+    assert!((0.4..0.6).contains(&shares[0]), "one run of each class: {shares:?}");
+}
+
 #[test]
 fn class_waits_are_reported_only_while_classes_compete() {
     let mut scene = Scene::new(100);
