conf, dispatch, platform: class of a job by its queue's priority

Cause: the priority of a queue is stored, and no decision reads it.

Change: each version of the configuration has the rank of every queue among the distinct priorities of its service. A job carries its class and the number of classes of its service, and passes the class to the placer and to batches.

--- a/crates/conf/src/fleet/current.rs
+++ b/crates/conf/src/fleet/current.rs
@@ -1,11 +1,14 @@
-use std::sync::{
-    Arc, PoisonError, RwLock,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
-use base::{Event, invariant};
+use base::{Event, Name, invariant};
 
-use super::{FleetConfig, parse};
+use super::{FleetConfig, QueueRank, parse};
 
 /// The fleet configuration in force in this process; its version never decreases.
 #[derive(Default)]
@@ -22,6 +25,14 @@
     pub fleet: FleetConfig,
     /// the document as the platform's table holds it
     pub text: Arc<str>,
+    ranks: BTreeMap<Name, QueueRank>,
+}
+
+impl Snapshot {
+    /// Rank of a queue among those of its service.
+    pub fn queue_rank(&self, queue: &str) -> QueueRank {
+        self.ranks.get(queue).copied().unwrap_or_default()
+    }
 }
 
 impl CurrentFleet {
@@ -47,7 +58,8 @@
             Ok(fleet) => fleet,
             Err(e) => return self.reject(version, &e),
         };
-        self.replace(Snapshot { version, fleet, text: document.into() });
+        let ranks = fleet.queue_ranks();
+        self.replace(Snapshot { version, fleet, text: document.into(), ranks });
     }
 
     fn replace(&self, next: Snapshot) {
--- a/crates/conf/src/fleet/document.rs
+++ b/crates/conf/src/fleet/document.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base::Name;
 use serde::{Deserialize, Serialize};
@@ -43,6 +43,20 @@
         self.queues.iter().filter(|(_, q)| is_match(q)).max_by_key(|(_, q)| q.prefix.len())
     }
 
+    /// The rank of each queue among those of its service.
+    pub fn queue_ranks(&self) -> BTreeMap<Name, QueueRank> {
+        let mut priorities = BTreeMap::<&Name, BTreeSet<u32>>::new();
+        for queue in self.queues.values() {
+            priorities.entry(&queue.service).or_default().insert(queue.priority);
+        }
+        let rank = |(name, queue): (&Name, &Queue)| {
+            let priorities = priorities.get(&queue.service)?;
+            let rank = priorities.range(..queue.priority).count();
+            Some((name.clone(), QueueRank { rank, ranks: priorities.len() }))
+        };
+        self.queues.iter().filter_map(rank).collect()
+    }
+
     /// The change with this id, if the history still holds it.
     pub fn find_change(&self, id: &str) -> Option<&Change> {
         self.history.iter().find(|c| c.id == id)
@@ -86,6 +100,15 @@
     pub target_ms: u64,
 }
 
+/// Rank of a queue by its priority among the queues of its service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueRank {
+    /// number of distinct priorities that are higher
+    pub rank: usize,
+    /// number of distinct priorities
+    pub ranks: usize,
+}
+
 /// Share and quota of a team at a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -13,6 +13,6 @@
 pub use change::{Change, MAX_HISTORY};
 pub use check::{name_fault, parse};
 pub use current::{CurrentFleet, Snapshot};
-pub use document::{Exception, FleetConfig, Queue, Service, Team};
+pub use document::{Exception, FleetConfig, Queue, QueueRank, Service, Team};
 pub use entry_row::{EntryProcess, EntryRow};
 pub use values::{EffectiveValues, Field, Values};
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use fleet::{
     Change, CurrentFleet, EffectiveValues, EntryProcess, EntryRow, Exception, Field, FleetConfig,
-    MAX_HISTORY, Queue, Service, Snapshot, Team, Values, name_fault, parse,
+    MAX_HISTORY, Queue, QueueRank, Service, Snapshot, Team, Values, name_fault, parse,
 };
 pub use leased::{DispatchSettings, LeaseSettings, RunnerSettings, VisitSettings};
 pub use settings::{
--- a/crates/conf/tests/fleet.rs
+++ b/crates/conf/tests/fleet.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
-use conf::{Change, CurrentFleet, EntryProcess, EntryRow, Error, FleetConfig, MAX_HISTORY, parse};
+use conf::{
+    Change, CurrentFleet, EntryProcess, EntryRow, Error, FleetConfig, MAX_HISTORY, QueueRank, parse,
+};
 use serde_json::{Value, json};
 
 macro_rules! rejected {
@@ -86,6 +88,62 @@
     assert_eq!((snapshot.version, snapshot.fleet.defaults.slots), (5, Some(5)));
 }
 
+macro_rules! ranks {
+    ($($(#[$doc:meta])* $name:ident: [$($priority:literal),+] => [$($rank:literal),+];)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let priorities = [$($priority),+];
+            let ranks = [$($rank),+];
+            let snapshot = queues(&priorities);
+            for (index, rank) in ranks.into_iter().enumerate() {
+                let found = snapshot.queue_rank(&format!("q{index}"));
+                assert_eq!(found.rank, rank, "queue of priority {}", priorities[index]);
+            }
+        }
+    )*};
+}
+
+ranks! {
+    /// A burst of the long kind delays the others if their classes don't follow priorities.
+    ranks_follow_priorities: [2, 0, 1] => [2, 0, 1];
+    /// A service with one priority must behave as without classes.
+    equal_priorities_have_one_rank: [7, 7, 7] => [0, 0, 0];
+    /// A gap must not make a queue less urgent than its place in the order.
+    gaps_between_priorities_do_not_count: [1000, 10, 10, 500] => [2, 0, 0, 1];
+    /// The configuration sets no bound on the number of priorities.
+    more_priorities_than_classes_have_ranks_of_their_own: [5, 4, 3, 2, 1, 0] => [5, 4, 3, 2, 1, 0];
+}
+
+/// Another service's queues must not make the only priority of a service less urgent.
+#[test]
+fn queues_of_other_services_do_not_count() {
+    let snapshot = queues(&[3, 1]);
+    assert_eq!(snapshot.queue_rank("other"), QueueRank { rank: 0, ranks: 1 });
+    assert_eq!(snapshot.queue_rank("q0"), QueueRank { rank: 1, ranks: 2 });
+}
+
+/// The configuration with a queue of each priority, and one of another service whose
+/// priority is the highest.
+fn queues(priorities: &[u32]) -> Arc<conf::Snapshot> {
+    let queue = |service: &str, name: &str, priority: u32| {
+        json!({
+            "service": service, "host": "h", "prefix": format!("/{name}/"), "priority": priority,
+            "attempts": 1, "stretch": 1.6, "target_ms": 60
+        })
+    };
+    let mut list = serde_json::Map::new();
+    list.insert("other".to_owned(), queue("b", "other", 0));
+    for (index, priority) in priorities.iter().enumerate() {
+        let name = format!("q{index}");
+        list.insert(name.clone(), queue("a", &name, *priority));
+    }
+    let current = CurrentFleet::default();
+    let document = json!({ "services": { "a": {}, "b": {} }, "queues": list });
+    current.offer(1, &document.to_string());
+    current.get()
+}
+
 #[test]
 fn rows_of_gone_entries_expire() {
     let address = "127.0.0.1:7200".parse().expect("it is an address");
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -2,7 +2,7 @@
 
 use base::{Event, Name, Uptime, uptime};
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use lease::{Batch, BatchTask, Class, Ending, Progress, TaskResult};
+use lease::{Batch, BatchTask, Ending, Progress, TaskResult};
 use placement::{AgentView, Demand, Objective, Plan, Turn};
 use tokio::time::sleep;
 
@@ -277,7 +277,7 @@
             spec: self.job.spec.clone(),
             resources: self.job.resources,
             estimate: self.job.estimate,
-            class: Class::default(),
+            class: self.job.class,
             max_wait,
             time_left,
             tasks,
@@ -419,7 +419,7 @@
             resources: self.job.resources,
             count,
             estimate: self.job.estimate,
-            class: Class::default(),
+            class: self.job.class,
             objective: self.objective,
             age: self.age(),
         }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,7 +2,7 @@
 
 use base::Name;
 use conf::Queue;
-use lease::Resources;
+use lease::{Class, Resources};
 
 /// A job submitted by a caller: tasks of equal resources that may run in parallel.
 #[derive(Clone, Debug)]
@@ -11,6 +11,9 @@
     /// name of its queue
     pub queue: Name,
     pub queue_settings: Queue,
+    pub class: Class,
+    /// number of classes of its service
+    pub classes: usize,
     pub spec: Arc<str>,
     pub count: u32,
     /// needed by each task
