placement: order of the backlog by class, and rounds of tries

Cause: the backlog of an entry is a single queue in the order of arrival, and only its first job tries when capacity may be free. A job that fits nowhere blocks the others, and the wait of long jobs decides whether a short one may wait.

Change: BacklogOrder orders started jobs, then timely and late ones by class and arrival. A job that can't be placed passes its turn to the next one of another shape, at most 8 tries for each wake-up. The wait of the jobs ahead counts only the same and more urgent classes that are still in time, for the same backend servers. Without services of several classes, the order and the turns are those of before. It has no clock and no timer.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,12 +6,14 @@
 //! placed as a whole where it is expected to end within its [`Objective`];
 //! otherwise it waits for free capacity that no other job can use in time, or
 //! is refused at once. [`Placer`] chooses the agents, and tells refused callers
-//! when to retry.
+//! when to retry. [`BacklogOrder`] says which of the jobs that wait may try.
 
 mod agent_view;
+mod backlog_order;
 mod objective;
 mod placer;
 
 pub use agent_view::AgentView;
+pub use backlog_order::{BacklogOrder, ClassBacklog, Position, Shape, Stage, Waiter};
 pub use objective::{Objective, ObjectiveSettings};
 pub use placer::{Assignment, Demand, Goal, Placer, PlacerSettings, Plan, Refusal, Turn};
