placement, dispatch: choice, wait and refusal of a job by its class

Cause: the placer compares the wait of the whole queue of an agent, also for tasks that go before most of it. In the traced shortage short urgent jobs were refused because long jobs had waited longer, while backend servers had free capacity.

Change: the placer uses the expected wait of the job's class. Tasks sent since the last report are counted by class: those of the same and more urgent classes for the wait, all for the free capacity. A job may wait if the jobs ahead of it and the waits of agents for its class leave it time, or if capacity that it can use is free. Retry-After is the larger of 1 s and the expected wait for the class; each class has its part of the random delay, the most urgent one the first. The choice keeps the candidates in a heap instead of looking at all of them for each task. The backlog uses BacklogOrder.

For services with one class nothing changes: the test compares each plan with a copy of the choice before.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -4,7 +4,7 @@
 };
 
 use base::{Name, Uptime, uptime};
-use lease::{AgentLoad, Resources};
+use lease::{AgentLoad, CLASSES, Class, Resources};
 use tokio::sync::Notify;
 use topology::{Candidate, Rank};
 use wire::{Hello, egret_capnp::worker};
@@ -35,8 +35,8 @@
     load: Cell<AgentLoad>,
     /// version of the configuration in force there
     version: Cell<u64>,
-    /// resources of the tasks sent since the load was reported
-    unreported: Cell<Resources>,
+    /// resources of the tasks of each class sent since the load was reported
+    unreported: Cell<[Resources; CLASSES]>,
     /// notified of each heartbeat and of a replaced link
     pub changed: Notify,
 }
@@ -91,7 +91,7 @@
     /// Records the load reported by a reply or a heartbeat.
     pub fn set_load(&self, load: AgentLoad) {
         self.load.set(load);
-        self.unreported.set(Resources::default());
+        self.unreported.set(Default::default());
     }
 
     /// Status for operators.
@@ -127,13 +127,16 @@
         self.load.get()
     }
 
-    pub fn unreported(&self) -> Resources {
+    pub fn unreported(&self) -> [Resources; CLASSES] {
         self.unreported.get()
     }
 
     /// Counts tasks about to be sent.
-    pub fn count_sent(&self, resources: Resources, count: u32) {
-        self.unreported.set(self.unreported.get().plus(resources.times(count)));
+    pub fn count_sent(&self, class: Class, resources: Resources, count: u32) {
+        let mut unreported = self.unreported.get();
+        let of_class = &mut unreported[class.index()];
+        *of_class = of_class.plus(resources.times(count));
+        self.unreported.set(unreported);
     }
 
     /// Records that its open work got no heartbeat in time.
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -105,7 +105,7 @@
             }
             (_, None) => return,
         }
-        self.backlog.wake_first();
+        self.backlog.wake();
     }
 
     /// The newest incarnation of an agent.
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -1,94 +1,92 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::HashMap,
     rc::Rc,
+    time::Duration,
 };
 
-use base::{Uptime, uptime};
+use base::uptime;
+use placement::{BacklogOrder, ClassBacklog, Position, Shape, Stage, Waiter};
 use tokio::sync::Notify;
 
 /// Jobs that wait: some can still end in time once an agent has free capacity,
 /// others only late. These get capacity that no other job needs: a late answer is
-/// worth less than a timely one, but more than none.
+/// worth less than a timely one, but more than none. The order is that of
+/// [`BacklogOrder`].
 #[derive(Default)]
 pub struct Backlog {
-    waiting: RefCell<BTreeMap<Position, Rc<Waiting>>>,
-    last_number: Cell<u64>,
-}
-
-/// Order in the backlog: by priority, then by arrival here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Position {
-    priority: Priority,
-    number: u64,
-}
-
-/// Priority in the backlog.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Priority {
-    /// some of its tasks have run
-    Started,
-    /// none has run, and it can still end in time
-    Timely,
-    Late,
-}
-
-struct Waiting {
-    since: Uptime,
-    wake: Notify,
+    order: RefCell<BacklogOrder>,
+    wakers: RefCell<HashMap<Position, Rc<Notify>>>,
 }
 
 impl Backlog {
     /// Adds a job.
-    pub fn join(self: &Rc<Self>, priority: Priority) -> Ticket {
-        self.last_number.set(self.last_number.get() + 1);
-        let position = Position { priority, number: self.last_number.get() };
-        let waiting = Rc::new(Waiting { since: uptime(), wake: Notify::new() });
-        self.waiting.borrow_mut().insert(position, waiting.clone());
-        Ticket { backlog: self.clone(), position, waiting }
+    pub fn join(self: &Rc<Self>, waiter: Waiter) -> Ticket {
+        let stage = waiter.stage;
+        let position = self.order.borrow_mut().join(waiter);
+        let waker = Rc::<Notify>::default();
+        self.wakers.borrow_mut().insert(position, waker.clone());
+        Ticket { backlog: self.clone(), stage, position, waker, has_turn: Cell::default() }
     }
 
-    /// Lets the first job try, because capacity may be free.
-    pub fn wake_first(&self) {
-        if let Some((_, first)) = self.waiting.borrow().first_key_value() {
-            first.wake.notify_one();
-        }
+    /// Lets a job try, because capacity may be free.
+    pub fn wake(&self) {
+        let next = self.order.borrow_mut().wake();
+        self.notify(next);
     }
 
     pub fn is_empty(&self) -> bool {
-        self.waiting.borrow().is_empty()
+        self.order.borrow().is_empty()
     }
 
-    /// Wait so far of the job that has waited longest.
-    pub fn longest_wait(&self) -> Uptime {
-        let waiting = self.waiting.borrow();
-        let since = waiting.values().map(|w| w.since).min();
-        since.map(|s| uptime().saturating_sub(s)).unwrap_or_default()
+    /// Longest wait so far of the jobs that go before a new one.
+    pub fn wait_ahead(&self, shape: &Shape, classes: usize) -> Duration {
+        self.order.borrow().wait_ahead(shape, classes, uptime())
+    }
+
+    /// Jobs of each class.
+    pub fn by_class(&self) -> Vec<ClassBacklog> {
+        self.order.borrow().by_class(uptime())
+    }
+
+    fn notify(&self, position: Option<Position>) {
+        if let Some(waker) = position.and_then(|p| self.wakers.borrow().get(&p).cloned()) {
+            waker.notify_one();
+        }
     }
 }
 
 /// A job's position in the backlog; dropping it removes the job.
 pub struct Ticket {
     backlog: Rc<Backlog>,
+    stage: Stage,
     position: Position,
-    waiting: Rc<Waiting>,
+    waker: Rc<Notify>,
+    /// the job was woken, and has not passed its turn on
+    has_turn: Cell<bool>,
 }
 
 impl Ticket {
-    pub fn priority(&self) -> Priority {
-        self.position.priority
+    pub fn stage(&self) -> Stage {
+        self.stage
     }
 
-    /// Waits until the job may try.
+    /// Waits until the job may try. If it was its turn before, the turn passes on.
     pub async fn wait_turn(&self) {
-        self.waiting.wake.notified().await;
+        if self.has_turn.take() {
+            let next = self.backlog.order.borrow_mut().pass(self.position);
+            self.backlog.notify(next);
+        }
+        self.waker.notified().await;
+        self.has_turn.set(true);
     }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.backlog.waiting.borrow_mut().remove(&self.position);
+        self.backlog.wakers.borrow_mut().remove(&self.position);
         // capacity that this job didn't use may suit the next one
-        self.backlog.wake_first();
+        let next = self.backlog.order.borrow_mut().leave(self.position);
+        self.backlog.notify(next);
     }
 }
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -3,13 +3,13 @@
 use base::{Event, Name, Uptime, uptime};
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use lease::{Batch, BatchTask, Ending, Progress, TaskResult};
-use placement::{AgentView, Demand, Objective, Plan, Turn};
+use placement::{AgentView, Ahead, Demand, Objective, Plan, Shape, Stage, Turn, Waiter};
 use tokio::time::sleep;
 
 use crate::{
     Job, JobAnswer, JobDispatcher,
     agent::Agent,
-    backlog::{Priority, Ticket},
+    backlog::Ticket,
     cancel::CancelSignal,
     placed_batch::{BatchUpdate, PlacedBatch},
 };
@@ -23,9 +23,6 @@
 const OFFER_INTERVAL: Duration = Duration::from_millis(20);
 /// Part of the caller's time that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
-/// A job enters the backlog only if this multiple of its estimate is left after
-/// the expected wait there.
-const RUN_TIME_MARGIN: f64 = 2.0;
 
 /// State of one task of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -227,22 +224,29 @@
         self.dispatcher.placer().place(views, demand, turn)
     }
 
-    /// Adds the job to the backlog, or changes its priority there.
+    /// Adds the job to the backlog, or changes its stage there.
     fn join_backlog(&mut self) {
-        let priority = self.priority();
-        if self.ticket.as_ref().is_some_and(|t| t.priority() == priority) {
+        let stage = self.stage();
+        if self.ticket.as_ref().is_some_and(|t| t.stage() == stage) {
             return;
         }
-        self.ticket = Some(self.dispatcher.agents().backlog.join(priority));
+        let waiter = Waiter {
+            stage,
+            shape: self.shape(),
+            classes: self.job.classes,
+            arrived_at: self.arrived_at,
+            since: uptime(),
+        };
+        self.ticket = Some(self.dispatcher.agents().backlog.join(waiter));
     }
 
-    fn priority(&self) -> Priority {
+    fn stage(&self) -> Stage {
         if !self.is_untouched() {
-            return Priority::Started;
+            return Stage::Started;
         }
         let demand = self.demand(self.tasks.len());
         let may = self.dispatcher.placer().may_end_in_time(&self.load_views(), &demand);
-        if may { Priority::Timely } else { Priority::Late }
+        if may { Stage::Timely } else { Stage::Late }
     }
 
     /// Whether capacity is likely to become free while an answer is of use.
@@ -250,10 +254,14 @@
         if self.ticket.is_some() {
             return true;
         }
+        let agents = self.usable_agents();
         let is_new = self.dispatcher.age() < WARMUP_TIME;
-        let any_ready = self.load_views().iter().any(|v| v.load.ready);
-        let longest = self.dispatcher.agents().backlog.longest_wait();
-        (any_ready || is_new) && longest + self.job.estimate.mul_f64(RUN_TIME_MARGIN) < time_left
+        let ahead = self.ahead();
+        if is_new && !agents.iter().any(|a| a.load().ready) {
+            return ahead.leaves_time(self.job.estimate, time_left);
+        }
+        let (views, demand) = (self.agent_views(&agents), self.demand(self.tasks.len()));
+        self.dispatcher.placer().may_wait(&views, &demand, ahead, time_left)
     }
 
     fn send(
@@ -267,7 +275,7 @@
         for task in &tasks {
             self.tasks[task.index as usize] = Task::Placed;
         }
-        agent.count_sent(self.job.resources, tasks.len() as u32);
+        agent.count_sent(self.job.class, self.job.resources, tasks.len() as u32);
         *self.sent.entry(agent.name.clone()).or_default() += tasks.len();
         let number = self.dispatcher.next_batch();
         self.placed.push((agent.clone(), number));
@@ -320,7 +328,7 @@
         // without a reported load the capacity is zero
         if progress.load.capacity != lease::Resources::default() {
             batch.agent.set_load(progress.load);
-            self.dispatcher.agents().backlog.wake_first();
+            self.dispatcher.agents().backlog.wake();
         }
         for result in &progress.results {
             if self.record_result(result, &batch) {
@@ -425,6 +433,22 @@
         }
     }
 
+    /// The jobs that go before this one.
+    fn ahead(&self) -> Ahead {
+        let wait = self.dispatcher.agents().backlog.wait_ahead(&self.shape(), self.job.classes);
+        Ahead { classes: self.job.classes, wait }
+    }
+
+    fn shape(&self) -> Shape {
+        Shape {
+            service: self.job.queue_settings.service.clone(),
+            class: self.job.class,
+            label: self.job.label.clone(),
+            rack: self.job.rack.clone(),
+            resources: self.job.resources,
+        }
+    }
+
     /// Whether no task has started and no batch is pending.
     fn is_untouched(&self) -> bool {
         !self.started.get() && self.placed.is_empty()
@@ -432,7 +456,8 @@
 
     fn refuse(&self) -> JobAnswer {
         let views = self.load_views();
-        let refusal = self.dispatcher.placer().refuse(&views, &self.demand(self.tasks.len()));
+        let demand = self.demand(self.tasks.len());
+        let refusal = self.dispatcher.placer().refuse(&views, &demand, self.ahead());
         let reason = if views.iter().any(|v| v.load.ready) {
             "no room in time"
         } else {
--- a/crates/placement/src/agent_view.rs
+++ b/crates/placement/src/agent_view.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
-use lease::{AgentLoad, Resources};
+use lease::{AgentLoad, CLASSES, Class, Resources};
 
 /// State of an agent known to an entry that places tasks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AgentView {
     pub load: AgentLoad,
-    /// resources of the tasks sent to it since its load was reported
-    pub unreported: Resources,
+    /// resources of the tasks of each class sent to it since its load was reported
+    pub unreported: [Resources; CLASSES],
     /// must not get tasks of this job
     pub excluded: bool,
     /// factor on the run time of tasks whose data is far from this agent
@@ -22,6 +22,17 @@
         self.load.ready && !self.excluded && resources.fits(self.load.capacity)
     }
 
+    /// Resources that are free beside the tasks sent since its report.
+    pub(crate) fn free(&self) -> Resources {
+        self.unreported.into_iter().fold(self.load.free, Resources::minus)
+    }
+
+    /// Millicores of the tasks sent since its report that go before one of a class.
+    pub(crate) fn unreported_cpu(&self, class: Class) -> u32 {
+        let ahead = &self.unreported[..=class.index()];
+        ahead.iter().fold(0, |sum, r| sum.saturating_add(r.cpu))
+    }
+
     /// Expected run time of a task there.
     pub(crate) fn run_time(&self, estimate: Duration) -> Duration {
         // the bounds keep the run time above zero and distance from shortening it
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,4 +16,4 @@
 pub use agent_view::AgentView;
 pub use backlog_order::{BacklogOrder, ClassBacklog, Position, Shape, Stage, Waiter};
 pub use objective::{Objective, ObjectiveSettings};
-pub use placer::{Assignment, Demand, Goal, Placer, PlacerSettings, Plan, Refusal, Turn};
+pub use placer::{Ahead, Assignment, Demand, Goal, Placer, PlacerSettings, Plan, Refusal, Turn};
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use lease::{Class, Resources};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -8,6 +8,8 @@
 /// Wait in an agent's queue that is always allowed, also where its newest report
 /// showed free capacity.
 const MIN_WAIT: Duration = Duration::from_millis(10);
+/// A job waits only if this multiple of its estimate is left after the expected wait.
+const RUN_TIME_MARGIN: f64 = 2.0;
 
 /// Settings of the choice between agents.
 #[derive(Clone, Debug)]
@@ -96,6 +98,15 @@
     Behind,
 }
 
+/// What goes before a job at its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ahead {
+    /// number of classes of its service
+    pub classes: usize,
+    /// longest wait so far of the jobs that go before it
+    pub wait: Duration,
+}
+
 /// Refusal of a job, with the delay after which the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -123,6 +134,13 @@
     assigned: usize,
 }
 
+impl Ahead {
+    /// Whether a job may end within `time_left` after the jobs that go before it.
+    pub fn leaves_time(&self, estimate: Duration, time_left: Duration) -> bool {
+        self.wait + estimate.mul_f64(RUN_TIME_MARGIN) < time_left
+    }
+}
+
 impl Placer {
     pub fn new(settings: PlacerSettings, seed: u64) -> Self {
         Self { settings, rng: SmallRng::seed_from_u64(seed) }
@@ -157,15 +175,21 @@
     /// is expected to end first, or else one where it waits and ends in time.
     pub fn plan(&mut self, agents: &[AgentView], demand: &Demand, goal: Goal) -> Plan {
         let mut candidates = self.candidates(agents, demand);
+        let settings = &self.settings;
+        // free capacity is preferred: it is known, while waits are estimates
+        let key = |position: usize, c: &Candidate| {
+            c.is_eligible(settings, demand, goal)
+                .then(|| Reverse((!c.has_capacity(demand), c.cost(settings, demand), position)))
+        };
+        // an assignment changes the cost of its candidate only
+        let mut eligible: BinaryHeap<_> =
+            candidates.iter().enumerate().filter_map(|(i, c)| key(i, c)).collect();
         let mut unplaced = demand.count;
         while unplaced > 0 {
-            let eligible =
-                candidates.iter_mut().filter(|c| c.is_eligible(&self.settings, demand, goal));
-            // free capacity is preferred: it is known, while waits are estimates
-            let best =
-                eligible.min_by_key(|c| (!c.has_capacity(demand), c.cost(&self.settings, demand)));
-            let Some(best) = best else { break };
+            let Some(Reverse((_, _, position))) = eligible.pop() else { break };
+            let best = &mut candidates[position];
             best.assign(demand);
+            eligible.extend(key(position, best));
             unplaced -= 1;
         }
         let used = candidates.into_iter().filter(|c| c.assigned > 0);
@@ -177,14 +201,42 @@
         Plan { assignments: assignments.collect(), unplaced }
     }
 
-    /// When a caller should send a refused job again: once the shortest queue is
-    /// worked off, plus a random delay of up to the same length, so that callers
-    /// don't return together.
-    pub fn refuse(&mut self, agents: &[AgentView], demand: &Demand) -> Refusal {
+    /// Whether a job that can't be placed now is likely to get capacity while an
+    /// answer is of use, for another `time_left`.
+    pub fn may_wait(
+        &self,
+        agents: &[AgentView],
+        demand: &Demand,
+        ahead: Ahead,
+        time_left: Duration,
+    ) -> bool {
+        if ahead.classes <= 1 {
+            let any_ready = agents.iter().any(|a| a.load.ready);
+            return any_ready && ahead.leaves_time(demand.estimate, time_left);
+        }
+        let margin = demand.estimate.mul_f64(RUN_TIME_MARGIN);
+        let fits = |a: &&AgentView| a.load.ready && demand.resources.fits(a.load.capacity);
+        agents.iter().filter(fits).any(|a| {
+            let (wait, run_time) = (a.load.wait(demand.class), a.run_time(demand.estimate));
+            // capacity for a part of its tasks shows that there is some for jobs like it
+            let is_free = wait.is_zero() && demand.resources.fits(a.free());
+            let time = if is_free { run_time } else { wait.max(ahead.wait) + run_time.max(margin) };
+            time < time_left
+        })
+    }
+
+    /// When a caller should send a refused job again: after the expected wait, plus a
+    /// random delay of up to the same length, so that callers don't return together.
+    /// Each class has its part of the random delay, the most urgent one the first.
+    pub fn refuse(&mut self, agents: &[AgentView], demand: &Demand, ahead: Ahead) -> Refusal {
         let usable = agents.iter().filter(|a| a.load.ready && !a.excluded);
-        let wait = usable.map(|a| a.load.expected_wait).min().unwrap_or_default();
-        let after = (wait + demand.estimate).max(self.settings.min_retry_delay);
-        Refusal { retry_after: after + after.mul_f64(self.rng.random()) }
+        let class = demand.class;
+        let wait = usable.map(|a| a.load.wait(class)).min().unwrap_or_default();
+        let wait = if ahead.classes > 1 { wait.max(ahead.wait) } else { wait + demand.estimate };
+        let after = wait.max(self.settings.min_retry_delay);
+        let part = class.index() as f64 + self.rng.random::<f64>();
+        let spread = part / ahead.classes.max(class.index() + 1) as f64;
+        Refusal { retry_after: after + after.mul_f64(spread) }
     }
 
     fn candidates(&mut self, agents: &[AgentView], demand: &Demand) -> Vec<Candidate> {
@@ -195,16 +247,17 @@
                 let run_time = agent.run_time(demand.estimate);
                 let capacity = f64::from(agent.load.capacity.cpu.max(1));
                 let wait_per_task = run_time.mul_f64(f64::from(demand.resources.cpu) / capacity);
-                let unreported_tasks =
-                    f64::from(agent.unreported.cpu) / f64::from(demand.resources.cpu.max(1));
-                let is_full = !demand.resources.fits(agent.load.free.minus(agent.unreported));
+                let unreported_tasks = f64::from(agent.unreported_cpu(demand.class))
+                    / f64::from(demand.resources.cpu.max(1));
+                let free = agent.free();
+                let is_full = !demand.resources.fits(free);
                 let added =
                     if is_full { wait_per_task.mul_f64(unreported_tasks) } else { Duration::ZERO };
                 Candidate {
                     index,
-                    free: agent.load.free.minus(agent.unreported),
+                    free,
                     reserve: (capacity * self.settings.reserve) as u32,
-                    wait: agent.load.expected_wait + added,
+                    wait: agent.load.wait(demand.class) + added,
                     wait_per_task,
                     run_time,
                     jitter: run_time.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
--- a/crates/placement/tests/overload.rs
+++ b/crates/placement/tests/overload.rs
@@ -327,7 +327,7 @@
         {
             let has_capacity = self.views[entry].iter().any(|s| {
                 s.load.ready
-                    && demand.resources.fits(s.load.free.minus(s.unreported))
+                    && demand.resources.fits(s.load.free.minus(s.unreported[0]))
                     && s.load.expected_wait.is_zero()
             });
             self.refused_with_capacity += u32::from(has_capacity);
@@ -355,7 +355,8 @@
             let key = agent.scheduler.place(id, batch, now);
             self.batches.insert((number, assignment.agent, self.last_batch), key);
             let view = &mut self.views[entry][assignment.agent];
-            view.unreported = view.unreported.plus(demand.resources.times(assignment.tasks as u32));
+            view.unreported[0] =
+                view.unreported[0].plus(demand.resources.times(assignment.tasks as u32));
         }
     }
 
--- a/crates/placement/tests/placer.rs
+++ b/crates/placement/tests/placer.rs
@@ -1,12 +1,22 @@
 //! Decisions of the placer, one situation per case.
 
+mod baseline;
+
 use std::time::Duration;
 
-use lease::{AgentLoad, Class, Resources};
+use lease::{AgentLoad, CLASSES, Class, Resources};
 use placement::{
-    AgentView, Demand, Goal, Objective, ObjectiveSettings, Placer, PlacerSettings, Turn,
+    AgentView, Ahead, Demand, Goal, Objective, ObjectiveSettings, Placer, PlacerSettings, Turn,
 };
 
+/// No job goes before, at a service with one class.
+const SINGLE_CLASS: Ahead = Ahead { classes: 1, wait: Duration::ZERO };
+
+/// The same at a service with three classes.
+const THREE_CLASSES: Ahead = Ahead { classes: 3, wait: Duration::ZERO };
+
+const SEED: u64 = 7;
+
 const TASK: Resources = Resources { cpu: 6000, memory: 64, gpu: 0 };
 
 /// Age of a job that can't end in time any more.
@@ -68,7 +78,7 @@
     };
     tasks_sent_since_the_report_count: || {
         let mut agent = idle(0.8);
-        agent.unreported = TASK.times(10);
+        agent.unreported[0] = TASK.times(10);
         assert_eq!(assign(&[agent, idle(1.4)], 1, Goal::InTime), [(1, 1)]);
     };
     an_agent_that_is_not_ready_gets_no_task: || {
@@ -114,11 +124,113 @@
         let mut placer = placer();
         let agents = [full(1.0, 300)];
         let mut times: Vec<Duration> =
-            (0..50).map(|_| placer.refuse(&agents, &demand(1)).retry_after).collect();
+            (0..50).map(|_| placer.refuse(&agents, &demand(1), SINGLE_CLASS).retry_after).collect();
         times.sort_unstable();
         assert!(times[0] >= Duration::from_millis(300), "not before capacity is expected");
         assert!(times[49] > times[0].mul_f64(1.5), "spread over time");
     };
+    an_urgent_task_is_queued_where_less_urgent_ones_wait: || {
+        // otherwise the most urgent class gets the worst service in a shortage
+        let agents = [queued([0, 900, 900])];
+        assert_eq!(assign_class(&agents, 0), [(0, 1)]);
+        assert!(assign(&[full(0.8, 900)], 1, Goal::InTime).is_empty(), "without classes");
+    };
+    a_less_urgent_task_is_not_queued_behind_urgent_ones: || {
+        assert!(assign_class(&[queued([0, 900, 900])], 1).is_empty());
+        assert_eq!(assign_class(&[queued([0, 0, 900])], 1), [(0, 1)]);
+    };
+    a_less_urgent_task_leaves_free_capacity_to_queued_urgent_ones: || {
+        // capacity is free because the urgent task at the head is larger
+        let mut agent = queued([0, 900, 900]);
+        agent.load.free = TASK;
+        let late = Demand { age: LATE, ..class_demand(1) };
+        assert_eq!(placer().plan(&[agent], &late, Goal::Immediate).unplaced, 1);
+        let late = Demand { age: LATE, ..class_demand(0) };
+        assert_eq!(placer().plan(&[agent], &late, Goal::Immediate).unplaced, 0);
+    };
+    less_urgent_tasks_sent_since_the_report_use_capacity_and_delay_nothing: || {
+        let mut agent = queued([0, 0, 0]);
+        agent.load.free = TASK;
+        agent.unreported[2] = TASK.times(50);
+        // it would wait for too long behind 50 tasks
+        assert!(assign_class(&[agent], 2).is_empty());
+        let plan = placer().plan(&[agent], &class_demand(0), Goal::InTime);
+        assert_eq!(plan.unplaced, 0);
+        let late = Demand { age: LATE, ..class_demand(0) };
+        assert_eq!(placer().plan(&[agent], &late, Goal::Immediate).unplaced, 1, "none is free");
+    };
+    classes_return_in_their_order_after_at_least_a_second: || {
+        let mut placer = placer();
+        for waits in [[0, 0, 0], [100, 1500, 4000]] {
+            let mut latest_before = Duration::from_secs(1);
+            for (class, wait) in waits.into_iter().enumerate() {
+                let base = Duration::from_millis(wait).max(Duration::from_secs(1));
+                let demand = class_demand(class);
+                let times: Vec<Duration> = (0..200)
+                    .map(|_| placer.refuse(&[queued(waits)], &demand, THREE_CLASSES).retry_after)
+                    .collect();
+                let (first, last) = (times.iter().min(), times.iter().max());
+                let (first, last) = (*first.expect("some"), *last.expect("some"));
+                assert!(base <= first && last <= base * 2, "{class}: {first:?} {last:?}");
+                assert!(first >= latest_before, "class {class} returns before the one above it");
+                assert!(last - first > base.mul_f64(0.2), "class {class} returns together");
+                latest_before = last;
+            }
+        }
+    };
+    the_wait_at_the_entry_delays_the_return: || {
+        let ahead = Ahead { wait: Duration::from_secs(3), ..THREE_CLASSES };
+        let refusal = placer().refuse(&[queued([0, 0, 0])], &class_demand(0), ahead);
+        assert!(refusal.retry_after >= Duration::from_secs(3));
+    };
+    a_short_urgent_job_may_wait_whatever_long_jobs_wait: || {
+        // trace of a shortage: refused because of the wait of long jobs
+        assert!(may_wait(&[queued([100, 5000, 5000])], 0, THREE_CLASSES));
+        assert!(!may_wait(&[queued([100, 5000, 5000])], 1, THREE_CLASSES));
+    };
+    a_job_may_wait_while_capacity_that_it_can_use_is_free: || {
+        // trace of a shortage: refused while backend servers had free capacity
+        let ahead = Ahead { wait: Duration::from_secs(9), ..THREE_CLASSES };
+        assert!(may_wait(&[idle(1.0)], 2, ahead));
+        assert!(!may_wait(&[queued([0, 0, 1])], 2, ahead));
+        let mut sent = idle(1.0);
+        sent.unreported[0] = sent.load.free;
+        assert!(!may_wait(&[sent], 2, ahead), "it is taken since the report");
+    };
+    a_job_without_a_chance_does_not_wait: || {
+        let mut small = idle(1.0);
+        small.load.capacity.cpu = TASK.cpu - 1;
+        assert!(!may_wait(&[small], 0, THREE_CLASSES), "larger than any agent");
+        assert!(!may_wait(&[idle(9.0)], 0, THREE_CLASSES), "too slow");
+        assert!(!may_wait(&[], 0, THREE_CLASSES), "no agent");
+    };
+}
+
+/// Decisions of a service with one class stay as they were, whatever is known about
+/// classes: the expected wait of the whole queue and any unreported task count.
+#[test]
+fn with_one_class_nothing_but_the_whole_queue_counts() {
+    for wait in [0, 20, 60, 500] {
+        for sent in [0, 9, 10, 14, 60] {
+            let mut agents = [full(0.8, wait), free(0.9, 20_000), idle(1.4)];
+            agents[1].unreported[0] = TASK.times(sent);
+            let mut with_waits = agents;
+            for agent in &mut with_waits {
+                agent.load.class_waits = Some([agent.load.expected_wait; CLASSES]);
+            }
+            for count in [1, 3, 8, 30] {
+                for goal in [Goal::InTime, Goal::Immediate, Goal::Spare] {
+                    let plan = placer().plan(&agents, &demand(count), goal);
+                    assert_eq!(plan, placer().plan(&with_waits, &demand(count), goal));
+                    assert_eq!(
+                        plan,
+                        baseline::plan(SEED, &agents, &demand(count), goal),
+                        "{wait} {sent} {count}"
+                    );
+                }
+            }
+        }
+    }
 }
 
 #[test]
@@ -133,7 +245,7 @@
 }
 
 fn placer() -> Placer {
-    Placer::new(PlacerSettings::default(), 7)
+    Placer::new(PlacerSettings::default(), SEED)
 }
 
 /// Agent and number of tasks of each assignment.
@@ -142,6 +254,18 @@
     plan.assignments.iter().map(|p| (p.agent, p.tasks)).collect()
 }
 
+/// The same for one task of a class.
+fn assign_class(agents: &[AgentView], class: usize) -> Vec<(usize, usize)> {
+    let plan = placer().plan(agents, &class_demand(class), Goal::InTime);
+    plan.assignments.iter().map(|p| (p.agent, p.tasks)).collect()
+}
+
+/// Whether a job of a class that was just submitted may wait.
+fn may_wait(agents: &[AgentView], class: usize, ahead: Ahead) -> bool {
+    let demand = class_demand(class);
+    placer().may_wait(agents, &demand, ahead, demand.objective.cutoff)
+}
+
 /// The same for a job of one task and this age; `None` when it waits.
 fn place(agents: &[AgentView], age: Duration, turn: Turn) -> Option<Vec<(usize, usize)>> {
     let plan = placer().place(agents, &Demand { age, ..demand(1) }, turn)?;
@@ -164,6 +288,10 @@
     }
 }
 
+fn class_demand(class: usize) -> Demand {
+    Demand { class: Class::from_rank(class), ..demand(1) }
+}
+
 fn idle(slowness: f64) -> AgentView {
     let capacity = Resources { cpu: 64_000, memory: 100_000, gpu: 0 };
     let load =
@@ -183,3 +311,11 @@
     agent.load.expected_wait = Duration::from_millis(wait_ms);
     agent
 }
+
+/// An agent without free capacity where tasks of the first classes wait for so long.
+fn queued(waits_ms: [u64; 3]) -> AgentView {
+    let mut agent = full(0.8, waits_ms[2]);
+    let [a, b, c] = waits_ms.map(Duration::from_millis);
+    agent.load.class_waits = Some([a, b, c, c]);
+    agent
+}
--- a/crates/placement/tests/shortage.rs
+++ b/crates/placement/tests/shortage.rs
@@ -316,7 +316,7 @@
             self.last_number += 1;
             job.placed.insert(self.last_number);
             let view = &mut self.views[entry][assignment.agent];
-            view.unreported = view.unreported.plus(resources.times(tasks.len() as u32));
+            view.unreported[0] = view.unreported[0].plus(resources.times(tasks.len() as u32));
             let batch = Batch {
                 number: self.last_number,
                 job: number.to_string().as_str().into(),
@@ -437,7 +437,7 @@
     fn set_load(&mut self, i: usize, entry: usize, load: AgentLoad) {
         let view = &mut self.views[entry][i];
         view.load = load;
-        view.unreported = Resources::default();
+        view.unreported = Default::default();
         self.wake_first(entry);
     }
 
