--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -191,7 +191,7 @@
 
     /// Sets the state of the agent's data centre. While it is drained nothing new
     /// starts, and runs end.
-    pub fn set_centre(&mut self, state: CentreState, now: Uptime) {
+    pub fn set_centre_state(&mut self, state: CentreState, now: Uptime) {
         let before = mem::replace(&mut self.centre, state);
         if state == CentreState::Drained && before != state {
             self.return_queued(CENTRE_DRAINED, now);
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -112,9 +112,9 @@
     }
 
     /// Sets the state of this agent's data centre.
-    pub fn set_centre(self: &Rc<Self>, state: CentreState) {
+    pub fn set_centre_state(self: &Rc<Self>, state: CentreState) {
         if self.centre.replace(state) != state {
-            self.with_scheduler(|scheduler, now| scheduler.set_centre(state, now));
+            self.with_scheduler(|scheduler, now| scheduler.set_centre_state(state, now));
         }
     }
 
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -318,7 +318,7 @@
     fn apply_drains(&self, offered: &Drains) {
         let State { identity, driver, drains, .. } = &*self.state;
         drains.offer(offered);
-        driver.set_centre(match drains.is_drained(&identity.centre) {
+        driver.set_centre_state(match drains.is_drained(&identity.centre) {
             true => CentreState::Drained,
             false => CentreState::InUse,
         });
