placement: simulated shortage with queues of different priorities

Cause: the simulation has one class.

Change: it uses BacklogOrder, and its kinds are of one priority or of three.

--- a/crates/placement/tests/shortage.rs
+++ b/crates/placement/tests/shortage.rs
@@ -15,7 +15,8 @@
     SchedulerSettings, SessionId, StartOutcome, TaskRef,
 };
 use placement::{
-    AgentView, Demand, Objective, ObjectiveSettings, Placer, PlacerSettings, Plan, Turn,
+    AgentView, Ahead, BacklogOrder, Demand, Objective, ObjectiveSettings, Placer, PlacerSettings,
+    Plan, Position, Shape, Stage, Turn, Waiter,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -50,6 +51,16 @@
 /// much work as the backend servers can do.
 const KINDS: [(f64, f64, f64); 3] = [(60.0, 8.0, 27.6), (900.0, 4.0, 5.0), (200.0, 2.0, 80.3)];
 
+/// Class of each kind, by its run time.
+const CLASS_RANKS: [usize; 3] = [0, 2, 1];
+
+/// Priorities of the queues of the kinds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Priorities {
+    Equal,
+    ByKind,
+}
+
 struct Job {
     kind: usize,
     entry: usize,
@@ -68,9 +79,8 @@
     placed: BTreeSet<u64>,
     started: bool,
     avoided: BTreeSet<usize>,
-    /// priority and number in the backlog of its entry
-    ticket: Option<(u8, u64)>,
-    joined_at: Uptime,
+    /// stage and position in the backlog of its entry
+    ticket: Option<(Stage, Position)>,
     has_ended: bool,
     completed_at: Option<Uptime>,
 }
@@ -100,11 +110,18 @@
     placers: Vec<Placer>,
     views: Vec<Vec<AgentView>>,
     jobs: Vec<Job>,
-    backlog: Vec<BTreeMap<(u8, u64), usize>>,
+    priorities: Priorities,
+    backlog: Vec<BacklogOrder>,
+    /// entry and number of the job at each position
+    waiting: BTreeMap<(usize, Position), usize>,
+    /// jobs that may try
+    turns: VecDeque<(usize, Position)>,
     messages: VecDeque<(Uptime, Message)>,
     last_number: u64,
     /// starts after the caller's timeout
     late_starts: u32,
+    /// core-seconds of refused jobs that some agent had free capacity for
+    refused_beside_free: f64,
 }
 
 /// Outcomes of the jobs of one kind; work in core-seconds.
@@ -128,7 +145,7 @@
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, priorities: Priorities) -> Self {
         let timings = LeaseTimings::new(&LeaseBounds::default()).expect("defaults are valid");
         let now = Duration::from_secs(100);
         let agents = BACKENDS.map(|(speed, cores)| {
@@ -165,10 +182,14 @@
                 ENTRIES
             ],
             jobs: Vec::new(),
-            backlog: vec![BTreeMap::new(); ENTRIES],
+            priorities,
+            backlog: (0..ENTRIES).map(|_| BacklogOrder::default()).collect(),
+            waiting: BTreeMap::new(),
+            turns: VecDeque::new(),
             messages: VecDeque::new(),
             last_number: 0,
             late_starts: 0,
+            refused_beside_free: 0.0,
         }
     }
 
@@ -233,12 +254,12 @@
                 started: false,
                 avoided: BTreeSet::new(),
                 ticket: None,
-                joined_at: Duration::ZERO,
                 has_ended: false,
                 completed_at: None,
             };
             self.jobs.push(job);
             self.turn(self.jobs.len() - 1);
+            self.run_turns();
         }
     }
 
@@ -264,30 +285,36 @@
             return self.leave_backlog(number);
         }
         if job.is_untouched() && job.ticket.is_none() {
-            let since = self.backlog[entry].values().map(|n| self.jobs[*n].joined_at).min();
-            let longest = since.map(|s| now - s).unwrap_or_default();
-            if longest + job.estimate.mul_f64(2.0) >= useful {
+            let demand = self.demand(number);
+            let (shape, classes) = (self.shape(number), self.classes());
+            let wait = self.backlog[entry].wait_ahead(&shape, classes, now);
+            let ahead = Ahead { classes, wait };
+            if !self.placers[entry].may_wait(&self.views[entry], &demand, ahead, useful) {
                 return self.end(number);
             }
         }
         if job.placed.is_empty() && time_left < job.estimate {
             return self.end(number);
         }
-        let class = if !job.is_untouched() {
-            0
+        let stage = if !job.is_untouched() {
+            Stage::Started
         } else if self.may_end_in_time(number) {
-            1
+            Stage::Timely
         } else {
-            2
+            Stage::Late
         };
-        if job.ticket.is_none_or(|(t, _)| t != class) {
-            self.last_number += 1;
-            let ticket = (class, self.last_number);
-            if let Some(old) = self.jobs[number].ticket.replace(ticket) {
-                self.backlog[entry].remove(&old);
-            }
-            self.jobs[number].joined_at = now;
-            self.backlog[entry].insert(ticket, number);
+        if job.ticket.is_none_or(|(t, _)| t != stage) {
+            let waiter = Waiter {
+                stage,
+                shape: self.shape(number),
+                classes: self.classes(),
+                arrived_at: job.arrived_at,
+                since: now,
+            };
+            let position = self.backlog[entry].join(waiter);
+            self.waiting.insert((entry, position), number);
+            self.leave_backlog(number);
+            self.jobs[number].ticket = Some((stage, position));
         }
     }
 
@@ -316,14 +343,15 @@
             self.last_number += 1;
             job.placed.insert(self.last_number);
             let view = &mut self.views[entry][assignment.agent];
-            view.unreported[0] = view.unreported[0].plus(resources.times(tasks.len() as u32));
+            let unreported = &mut view.unreported[demand.class.index()];
+            *unreported = unreported.plus(resources.times(tasks.len() as u32));
             let batch = Batch {
                 number: self.last_number,
                 job: number.to_string().as_str().into(),
                 spec: "".into(),
                 resources,
                 estimate: job.estimate,
-                class: Class::default(),
+                class: demand.class,
                 max_wait: assignment.max_wait,
                 time_left,
                 tasks,
@@ -354,7 +382,7 @@
         let job = &self.jobs[number];
         Demand {
             resources: Resources { cpu: job.cpu, memory: 64, gpu: 0 },
-            class: Class::default(),
+            class: self.class(job.kind),
             count: job.unplaced.len(),
             estimate: job.estimate,
             objective: job.objective,
@@ -362,8 +390,29 @@
         }
     }
 
+    fn classes(&self) -> usize {
+        if self.priorities == Priorities::Equal { 1 } else { KINDS.len() }
+    }
+
+    fn class(&self, kind: usize) -> Class {
+        let is_equal = self.priorities == Priorities::Equal;
+        Class::from_rank(if is_equal { 0 } else { CLASS_RANKS[kind] })
+    }
+
+    fn shape(&self, number: usize) -> Shape {
+        let demand = self.demand(number);
+        Shape {
+            service: "".into(),
+            class: demand.class,
+            label: "".into(),
+            rack: "".into(),
+            resources: demand.resources,
+        }
+    }
+
     fn end(&mut self, number: usize) {
         self.leave_backlog(number);
+        self.count_refusal(number);
         let job = &mut self.jobs[number];
         job.has_ended = true;
         for batch in std::mem::take(&mut job.placed) {
@@ -374,15 +423,42 @@
     fn leave_backlog(&mut self, number: usize) {
         let job = &mut self.jobs[number];
         let entry = job.entry;
-        if let Some(ticket) = job.ticket.take() {
-            self.backlog[entry].remove(&ticket);
-            self.wake_first(entry);
+        if let Some((_, position)) = job.ticket.take() {
+            self.waiting.remove(&(entry, position));
+            let next = self.backlog[entry].leave(position);
+            self.turns.extend(next.map(|p| (entry, p)));
+        }
+    }
+
+    fn wake(&mut self, entry: usize) {
+        let next = self.backlog[entry].wake();
+        self.turns.extend(next.map(|p| (entry, p)));
+        self.run_turns();
+    }
+
+    fn run_turns(&mut self) {
+        while let Some((entry, position)) = self.turns.pop_front() {
+            let Some(number) = self.waiting.get(&(entry, position)).copied() else { continue };
+            self.turn(number);
+            if self.jobs[number].ticket.is_some_and(|(_, p)| p == position) {
+                let next = self.backlog[entry].pass(position);
+                self.turns.extend(next.map(|p| (entry, p)));
+            }
         }
     }
 
-    fn wake_first(&mut self, entry: usize) {
-        if let Some((_, number)) = self.backlog[entry].first_key_value() {
-            self.turn(*number);
+    fn count_refusal(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        if !job.is_untouched() || job.completed_at.is_some() {
+            return;
+        }
+        let (demand, now) = (self.demand(number), self.now);
+        let is_free = self.agents.iter().any(|a| {
+            let load = a.scheduler.load(now);
+            load.wait(demand.class).is_zero() && demand.resources.fits(load.free)
+        });
+        if is_free {
+            self.refused_beside_free += job.size();
         }
     }
 
@@ -397,7 +473,10 @@
                     && (age >= job.timeout || job.is_untouched() && age + job.estimate > cutoff)
             })
             .collect();
-        due.into_iter().for_each(|n| self.turn(n));
+        for number in due {
+            self.turn(number);
+            self.run_turns();
+        }
     }
 
     fn send(&mut self, message: Message) {
@@ -438,7 +517,7 @@
         let view = &mut self.views[entry][i];
         view.load = load;
         view.unreported = Default::default();
-        self.wake_first(entry);
+        self.wake(entry);
     }
 
     fn on_update(&mut self, i: usize, number: usize, batch: u64, progress: Progress) {
@@ -462,6 +541,7 @@
         }
         self.set_load(i, entry, progress.load);
         self.turn(number);
+        self.run_turns();
     }
 
     fn step_agent(&mut self, i: usize) {
@@ -593,9 +673,18 @@
 
 /// Outcomes over some seeds, `load` times as much work as can be done.
 fn outcomes(load: f64) -> [Outcomes; 3] {
+    outcomes_with(load, Priorities::Equal).0
+}
+
+/// The same with these priorities, and the work that was refused although some agent
+/// had free capacity.
+fn outcomes_with(load: f64, priorities: Priorities) -> ([Outcomes; 3], f64) {
     let mut sum = [Outcomes::default(); 3];
+    let mut refused_beside_free = 0.0;
     for seed in SEEDS {
-        for (sum, it) in sum.iter_mut().zip(Simulation::new(seed).run(load).outcomes()) {
+        let simulation = Simulation::new(seed, priorities).run(load);
+        refused_beside_free += simulation.refused_beside_free;
+        for (sum, it) in sum.iter_mut().zip(simulation.outcomes()) {
             sum.submitted += it.submitted;
             sum.timely += it.timely;
             sum.late += it.late;
@@ -603,7 +692,7 @@
             sum.useless_work += it.useless_work;
         }
     }
-    sum
+    (sum, refused_beside_free)
 }
 
 fn timely_work(outcomes: &[Outcomes; 3]) -> f64 {
@@ -643,7 +732,7 @@
 #[test]
 fn in_an_overload_large_jobs_do_not_starve() {
     for seed in SEEDS {
-        let simulation = Simulation::new(seed).run(1.1);
+        let simulation = Simulation::new(seed, Priorities::Equal).run(1.1);
         for (kind, all) in simulation.outcomes().into_iter().enumerate() {
             let (largest, all) = (simulation.largest(kind).answered_share(), all.answered_share());
             assert!(largest > all / 2.0, "kind {kind}: {largest} of the largest, {all} of all");
@@ -653,5 +742,21 @@
 
 #[test]
 fn no_task_starts_after_its_caller_timed_out() {
-    assert_eq!(Simulation::new(1).run(1.5).late_starts, 0);
+    for priorities in [Priorities::Equal, Priorities::ByKind] {
+        assert_eq!(Simulation::new(1, priorities).run(1.5).late_starts, 0);
+    }
+}
+
+#[test]
+fn print_classes() {
+    for load in [0.7, 0.9, 1.1, 1.5, 1.8] {
+        for priorities in [Priorities::Equal, Priorities::ByKind] {
+            let (it, refused) = outcomes_with(load, priorities);
+            let t = it.map(|o| format!("{:.3}/{:.3}", o.timely_share(), o.answered_share()));
+            println!(
+                "{load} {priorities:?} {t:?} work {:.0} refused beside free {refused:.1}",
+                timely_work(&it)
+            );
+        }
+    }
 }
