dispatch, ctl: backlog by class in metrics, in the report and in egretctl backlog

Cause: operators don't see for which class capacity is missing.

Change: metrics of the jobs that wait, of refusals and of the time in the backlog by class; the report of an entry has its backlog by class, which egretctl backlog shows.

--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -12,8 +12,23 @@
     ready: bool,
     agents: Vec<Agent>,
     jobs: Vec<Job>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    backlog: Vec<ClassBacklog>,
+}
+
+/// Jobs of one class that wait at an entry.
+#[derive(Serialize, Deserialize)]
+struct ClassBacklog {
+    class: usize,
+    jobs: usize,
+    longest_wait_ms: u64,
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Backlog(Vec<ClassBacklog>);
+
 #[derive(Serialize, Deserialize)]
 struct Agent {
     name: String,
@@ -84,6 +99,17 @@
     }
 }
 
+impl Rows for Backlog {
+    const TITLES: &'static [&'static str] = &["CLASS", "WAITING", "LONGEST_MS"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let row = |b: &ClassBacklog| {
+            vec![b.class.to_string(), b.jobs.to_string(), b.longest_wait_ms.to_string()]
+        };
+        self.0.iter().map(row).collect()
+    }
+}
+
 impl Rows for Jobs {
     const TITLES: &'static [&'static str] = &["JOB", "QUEUE", "STARTED", "AGE_MS"];
 
@@ -119,6 +145,11 @@
     format.print(&report)
 }
 
+/// Lists the jobs that wait at an entry by class, the most urgent class first.
+pub async fn backlog(entry: &Entry, format: Format) -> Result<()> {
+    format.print(&Backlog(fetch_report(entry).await?.backlog))
+}
+
 /// Lists the jobs in progress at an entry, oldest first.
 pub async fn jobs(entry: &Entry, format: Format) -> Result<()> {
     let mut jobs = fetch_report(entry).await?.jobs;
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -1,10 +1,11 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use base::{Event, Name, Uptime, uptime};
+use placement::ClassBacklog;
 use topology::{AgentSelector, SelectorSettings, rank};
 use wire::{Hello, egret_capnp::worker};
 
-use crate::{AgentReport, Job, agent::Agent, backlog::Backlog};
+use crate::{AgentReport, BacklogReport, Job, agent::Agent, backlog::Backlog};
 
 /// Time without a heartbeat after which an agent is forgotten; its machine is gone.
 const AGENT_RETENTION: Duration = Duration::from_secs(60);
@@ -125,6 +126,16 @@
         self.known.borrow().values().map(|a| a.report()).collect()
     }
 
+    /// Jobs that wait, by class.
+    pub fn backlog_report(&self) -> Vec<BacklogReport> {
+        let report = |it: ClassBacklog| BacklogReport {
+            class: it.class.index(),
+            jobs: it.jobs,
+            longest_wait_ms: it.longest_wait.as_millis() as u64,
+        };
+        self.backlog.by_class().into_iter().map(report).collect()
+    }
+
     /// Whether any agent accepts work.
     pub fn any_ready(&self) -> bool {
         let now = uptime();
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -60,6 +60,8 @@
     cancel: Rc<CancelSignal>,
     /// set while tasks wait in the backlog
     ticket: Option<Ticket>,
+    /// when the tasks that wait joined the backlog
+    joined_at: Option<Uptime>,
     answered: bool,
 }
 
@@ -91,6 +93,7 @@
             started,
             cancel,
             ticket: None,
+            joined_at: None,
             answered: false,
             job,
         }
@@ -101,8 +104,12 @@
         let answer = self.run().await;
         self.answered = true;
         let elapsed = self.age();
+        self.record_wait();
         let event = match answer {
-            JobAnswer::Refused { .. } => Event::JobRefused,
+            JobAnswer::Refused { .. } => {
+                self.dispatcher.metrics().record_refusal(self.job.class);
+                Event::JobRefused
+            }
             _ => Event::JobAnswered,
         };
         event.note(&[
@@ -134,6 +141,7 @@
             let unplaced = self.place(&mut calls);
             if unplaced == 0 {
                 self.ticket = None;
+                self.record_wait();
             } else if self.is_untouched() && !self.may_join_backlog(useful_time) {
                 return self.refuse();
             } else if calls.is_empty() && time_left < self.job.estimate {
@@ -230,16 +238,27 @@
         if self.ticket.as_ref().is_some_and(|t| t.stage() == stage) {
             return;
         }
+        let now = uptime();
+        let joined_at = *self.joined_at.get_or_insert(now);
+        // without classes a job that becomes late counts as new
+        let since = if self.job.classes > 1 { joined_at } else { now };
         let waiter = Waiter {
             stage,
             shape: self.shape(),
             classes: self.job.classes,
             arrived_at: self.arrived_at,
-            since: uptime(),
+            since,
         };
         self.ticket = Some(self.dispatcher.agents().backlog.join(waiter));
     }
 
+    fn record_wait(&mut self) {
+        if let Some(since) = self.joined_at.take() {
+            let wait = uptime().saturating_sub(since);
+            self.dispatcher.metrics().record_wait(self.job.class, wait);
+        }
+    }
+
     fn stage(&self) -> Stage {
         if !self.is_untouched() {
             return Stage::Started;
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -4,6 +4,8 @@
 
 use base::Name;
 use daemon::{LinkMetrics, metrics_page};
+use lease::Class;
+use placement::ClassBacklog;
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -30,6 +32,11 @@
     queue: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByClass {
+    class: usize,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByEnding {
     ending: &'static str,
@@ -41,6 +48,9 @@
     jobs: Family<ByAnswer, Counter>,
     seconds: Family<ByQueue, Histogram>,
     endings: Family<ByEnding, Counter>,
+    waiting: Family<ByClass, Gauge<u64, AtomicU64>>,
+    refused: Family<ByClass, Counter>,
+    backlog_seconds: Family<ByClass, Histogram>,
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
     links: LinkMetrics,
@@ -57,6 +67,16 @@
         registry.register("job_seconds", "Time to the answer of a job", seconds.clone());
         let endings = Family::default();
         registry.register("task_endings", "Ends of placed tasks", endings.clone());
+        let waiting = Family::default();
+        registry.register("backlog_jobs", "Jobs that wait by class", waiting.clone());
+        let refused = Family::default();
+        registry.register("refused_jobs", "Refused jobs by class", refused.clone());
+        let backlog_seconds = Family::new_with_constructor(new);
+        registry.register(
+            "backlog_seconds",
+            "Time that jobs spent in the backlog by class",
+            backlog_seconds.clone(),
+        );
         let config_version = Gauge::default();
         registry.register(
             "configuration_version",
@@ -64,7 +84,17 @@
             config_version.clone(),
         );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, jobs, seconds, endings, config_version, links }
+        Self {
+            registry,
+            jobs,
+            seconds,
+            endings,
+            waiting,
+            refused,
+            backlog_seconds,
+            config_version,
+            links,
+        }
     }
 }
 
@@ -79,6 +109,24 @@
         self.endings.get_or_create(&ByEnding { ending }).inc();
     }
 
+    pub fn record_refusal(&self, class: Class) {
+        self.refused.get_or_create(&ByClass { class: class.index() }).inc();
+    }
+
+    /// Records the time that a job spent in the backlog.
+    pub fn record_wait(&self, class: Class, wait: Duration) {
+        let of_class = ByClass { class: class.index() };
+        self.backlog_seconds.get_or_create(&of_class).observe(wait.as_secs_f64());
+    }
+
+    /// Sets the jobs that wait.
+    pub fn set_backlog(&self, classes: &[ClassBacklog]) {
+        for it in classes {
+            let of_class = ByClass { class: it.class.index() };
+            self.waiting.get_or_create(&of_class).set(it.jobs as u64);
+        }
+    }
+
     /// The metrics page in the text format of Prometheus.
     pub fn page(&self) -> String {
         self.links.refresh();
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -10,6 +10,16 @@
     pub ready: bool,
     pub agents: Vec<AgentReport>,
     pub jobs: Vec<JobReport>,
+    /// jobs that wait, by class
+    pub backlog: Vec<BacklogReport>,
+}
+
+/// Jobs of one class that wait for capacity.
+#[derive(Clone, Debug, Serialize)]
+pub struct BacklogReport {
+    pub class: usize,
+    pub jobs: usize,
+    pub longest_wait_ms: u64,
 }
 
 /// Status of an agent by its newest heartbeat or reply.
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -83,6 +83,7 @@
             ready: self.status.is_ready(),
             agents: self.agents.report(),
             jobs: self.dispatcher.report(),
+            backlog: self.agents.backlog_report(),
         }
     }
 
@@ -91,6 +92,7 @@
         let mut is_closed = false;
         loop {
             self.dispatcher.metrics().config_version.set(self.fleet.version());
+            self.dispatcher.metrics().set_backlog(&self.agents.backlog.by_class());
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
