--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod status;
 
 pub use agents::Agents;
+pub use backlog::{Backlog, Ticket};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
