--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -4,10 +4,11 @@
 
 use base::{Event, Name, Uptime, uptime};
 use drain::{CurrentDrains, DrainedCentre};
+use placement::ClassBacklog;
 use topology::{AgentSelector, Candidate, SelectorSettings, rank};
 use wire::{Hello, egret_capnp::worker};
 
-use crate::{AgentReport, DrainReport, Job, agent::Agent, backlog::Backlog};
+use crate::{AgentReport, BacklogReport, DrainReport, Job, agent::Agent, backlog::Backlog};
 
 /// Time without a heartbeat after which an agent is forgotten; its machine is gone.
 const AGENT_RETENTION: Duration = Duration::from_secs(60);
@@ -161,6 +162,16 @@
         self.drains.get().centres.iter().map(report).collect()
     }
 
+    /// Jobs that wait, by class.
+    pub fn backlog_report(&self) -> Vec<BacklogReport> {
+        let report = |it: ClassBacklog| BacklogReport {
+            class: it.class.index(),
+            jobs: it.jobs,
+            longest_wait_ms: it.longest_wait.as_millis() as u64,
+        };
+        self.backlog.by_class().into_iter().map(report).collect()
+    }
+
     /// Whether any agent accepts work.
     pub fn any_ready(&self) -> bool {
         let now = uptime();
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -12,6 +12,8 @@
     pub jobs: Vec<JobReport>,
     /// drained data centres
     pub drains: Vec<DrainReport>,
+    /// jobs that wait, by class
+    pub backlog: Vec<BacklogReport>,
 }
 
 /// A drained data centre, and what still runs there by the newest reports of its
@@ -31,6 +33,14 @@
     pub used_cpu: u64,
 }
 
+/// Jobs of one class that wait for capacity.
+#[derive(Clone, Debug, Serialize)]
+pub struct BacklogReport {
+    pub class: usize,
+    pub jobs: usize,
+    pub longest_wait_ms: u64,
+}
+
 /// Status of an agent by its newest heartbeat or reply.
 #[derive(Clone, Debug, Serialize)]
 pub struct AgentReport {
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -93,6 +93,7 @@
             agents: self.agents.report(),
             jobs: self.dispatcher.report(),
             drains: self.agents.report_drains(),
+            backlog: self.agents.backlog_report(),
         }
     }
 
@@ -103,6 +104,7 @@
             let metrics = self.dispatcher.metrics();
             metrics.config_version.set(self.fleet.version());
             metrics.drained_centres.set(self.drains.len() as u64);
+            metrics.set_backlog(&self.agents.backlog.by_class());
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
