placement: no configuration or report makes the placer panic

Objective::new panicked on a stretch of 1e300, and AgentView::run_time on a slowness of that size in an agent's report. Each job of that queue, or each job of an entry that knows that agent, ended in a panic instead of an answer.

Both new cases failed (panicked) before the change. Run: cargo test -p placement.

--- a/crates/placement/src/agent_view.rs
+++ b/crates/placement/src/agent_view.rs
@@ -2,6 +2,9 @@
 
 use lease::{AgentLoad, Resources};
 
+/// Largest factor on an estimate: agents report at most 50, so that more is an error.
+const MAX_FACTOR: f64 = 10_000.0;
+
 /// State of an agent known to an entry that places tasks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AgentView {
@@ -24,7 +27,9 @@
 
     /// Expected run time of a task there.
     pub(crate) fn run_time(&self, estimate: Duration) -> Duration {
-        // the bounds keep the run time above zero and distance from shortening it
-        estimate.mul_f64(self.load.slowness.max(0.01) * self.distance_factor.max(1.0))
+        // the bounds keep the run time above zero and distance from shortening it; no
+        // report makes it overflow
+        let factor = self.load.slowness.max(0.01) * self.distance_factor.max(1.0);
+        estimate.mul_f64(factor.min(MAX_FACTOR))
     }
 }
--- a/crates/placement/src/objective.rs
+++ b/crates/placement/src/objective.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+/// Far beyond any caller's wait; bounds objectives so that times computed from them
+/// don't overflow.
+const MAX_TARGET: Duration = Duration::from_secs(30 * 86_400);
+
 /// Settings of the objectives of jobs.
 #[derive(Clone, Debug)]
 pub struct ObjectiveSettings {
@@ -35,7 +39,7 @@
         stretch: f64,
         extra: Duration,
     ) -> Self {
-        let target = estimate.mul_f64(stretch.max(1.0)) + extra;
+        let target = (stretched(estimate, stretch) + extra.min(MAX_TARGET)).min(MAX_TARGET);
         let cutoff = target.mul_f64(settings.late_factor);
         Self { target, cutoff, wait_share: settings.wait_share }
     }
@@ -47,3 +51,9 @@
         slack.mul_f64(self.wait_share).checked_sub(age)
     }
 }
+
+/// `stretch` times the estimate, at most [`MAX_TARGET`].
+fn stretched(estimate: Duration, stretch: f64) -> Duration {
+    let seconds = estimate.as_secs_f64() * stretch.max(1.0);
+    Duration::try_from_secs_f64(seconds).map_or(MAX_TARGET, |time| time.min(MAX_TARGET))
+}
--- a/crates/placement/tests/placer.rs
+++ b/crates/placement/tests/placer.rs
@@ -19,6 +19,20 @@
 }
 
 cases! {
+    // a configuration or a report with a value out of range must not end each job in a panic
+    an_objective_beyond_any_duration_is_bounded: || {
+        let settings = ObjectiveSettings::default();
+        for stretch in [1e300, f64::INFINITY, f64::NAN] {
+            let extra = Duration::from_millis(u64::MAX);
+            let objective = Objective::new(&settings, Duration::from_secs(60), stretch, extra);
+            assert!(objective.cutoff >= objective.target);
+        }
+    };
+    an_agent_that_reports_a_speed_out_of_range_is_placed_last: || {
+        for slowness in [1e300, f64::INFINITY] {
+            assert_eq!(assign(&[idle(slowness), idle(0.8)], 1, Goal::InTime), [(1, 1)]);
+        }
+    };
     idle_agents_get_tasks_where_they_end_first: || {
         let assignments = assign(&[idle(1.8), idle(0.8)], 3, Goal::InTime);
         assert_eq!(assignments, [(1, 3)]);
