lease: a listing read after a suspension shows no stall

An agent that was suspended for more than 300 ms, but less than a session, read the listing that had been answered before the suspension with the clock of after it. If the percentage in it had not changed, the run counted as stalled and was stopped, and its task ran again elsewhere. A listing is now judged by the time at which it was made: its answer is held back for at most the renewal interval after the request. Answers that are read in time are judged as before.

a_listing_from_before_a_suspension_shows_no_stall failed before the change. Run: cargo test -p lease (world and promises included).

--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -359,9 +359,13 @@
         self.failed_listings = 0;
         self.on_incarnation(listing.started_ms, now);
         self.expire_sessions(now);
+        // an answer is held back for at most the renewal interval: one that was read later,
+        // because this agent was suspended, is older than it looks
+        let wait = self.settings.timings.renewal_interval();
+        let seen_at = now.min(listing.requested_at + wait);
         let mut has_orphans = false;
         for run in &listing.running {
-            has_orphans |= !self.on_progress(run, now);
+            has_orphans |= !self.on_progress(run, seen_at, now);
         }
         for end in &listing.ended {
             self.on_run_end(end, now);
@@ -749,9 +753,9 @@
         self.queue.insert((start_deadline, key));
     }
 
-    /// Handles a run that the backend server lists as running. False for an
-    /// orphan run, which is stopped.
-    fn on_progress(&mut self, row: &RunProgress, now: Uptime) -> bool {
+    /// Handles a run that the backend server listed as running at `seen_at`. False
+    /// for an orphan run, which is stopped.
+    fn on_progress(&mut self, row: &RunProgress, seen_at: Uptime, now: Uptime) -> bool {
         let key = self.run_by_task.get(&row.task).copied();
         let Some((key, run)) = key.and_then(|k| Some((k, self.runs.get_mut(k)?))) else {
             // this listing was overtaken by the one with the end of the run
@@ -774,7 +778,7 @@
             State::Running(_) => {}
             State::Stopping(_) => return true,
         }
-        self.track_progress(key, row.percent, now);
+        self.track_progress(key, row.percent, seen_at, now);
         true
     }
 
@@ -787,7 +791,7 @@
         self.effects.push(Effect::Stop(StopOrder { task: row.task.clone(), run: row.run }));
     }
 
-    fn track_progress(&mut self, key: RunKey, percent: u32, now: Uptime) {
+    fn track_progress(&mut self, key: RunKey, percent: u32, seen_at: Uptime, now: Uptime) {
         let Some(run) = self.runs.get_mut(key) else { return };
         let estimate = self.batches.get(run.batch).map(|b| b.estimate).unwrap_or_default();
         let progress = &mut run.progress;
@@ -805,7 +809,7 @@
             }
             return;
         }
-        if now.saturating_sub(progress.changed_at)
+        if seen_at.saturating_sub(progress.changed_at)
             > STALL_TIMEOUT.max(progress.longest_step * STALL_STEPS)
         {
             self.record_failure(now);
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -377,6 +377,26 @@
         }
         assert_eq!(s.stops().len(), 1);
     };
+    // an agent suspended for less than a session must not give up healthy runs
+    a_listing_from_before_a_suspension_shows_no_stall: |mut s| {
+        s.place(1, 1, 300);
+        let first = s.starts();
+        s.accept_all(&first);
+        s.advance_to(10);
+        s.list_progress(&first[0], 5);
+        s.advance_to(20);
+        let requested_at = s.now;
+        // answered at once, and read when the agent resumes
+        s.now = Scene::ms(400);
+        let row = RunProgress { task: first[0].task.clone(), run: first[0].run, percent: 5 };
+        let listing = Listing { requested_at, started_ms: 1, running: vec![row], ended: vec![] };
+        let now = s.now;
+        s.scheduler.on_listing(&listing, now);
+        assert!(s.stops().is_empty(), "the listing is old, not the progress");
+        s.advance_to(410);
+        s.list_progress(&first[0], 60);
+        assert!(s.stops().is_empty());
+    };
     a_run_with_progress_is_not_stopped: |mut s| {
         s.place(1, 1, 300);
         let first = s.starts();
