runner: answers that arrived during a suspension count

When an agent resumes, the timeout of a call (15 to 100 ms) fires before an answer that has arrived meanwhile can be read, as the answer passes through other tasks of the HTTP client first. The order counted as unanswered: a run that the backend server had accepted was stopped and started again with a higher number, and a listing counted as failed. Calls whose timer fires more than 20 ms late now wait for 20 ms more. Leases are not affected: an order carries the end of its own lease.

an_answer_that_arrived_during_a_suspension_counts failed before the change (one stop). Run: cargo test -p runner, three times.

--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -21,6 +22,11 @@
 /// Longest wait of a listing while answers are being lost: a lost listing hides
 /// the ends of runs for as long as it may wait.
 const SHORT_LISTING_WAIT: Duration = Duration::from_millis(20);
+/// A timer that fires later than this after its time shows that the process was
+/// suspended, or got no processor.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
+/// Time to read the answers that arrived during a suspension.
+const RESUME_TIME: Duration = Duration::from_millis(20);
 /// How often a cancelled batch is checked for runs.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after a failed listing, since the next one may fail immediately too.
@@ -419,10 +425,10 @@
         // keeps running after the timeout: a late answer still shows the response time
         let mut measured = actix::spawn(self.clone().measure(wait, call));
         let limit = wait + self.answer_timeout.get().limit();
-        match timeout(limit, &mut measured).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(e)) => Err(Error::Indeterminate(e.to_string())),
-            Err(_) => {
+        match timeout_awake(limit, &mut measured).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(e)) => Err(Error::Indeterminate(e.to_string())),
+            None => {
                 self.update_timeout(|t| t.record_timeout(uptime()));
                 Err(Error::Indeterminate(format!("none within {} ms", limit.as_millis())))
             }
@@ -438,9 +444,13 @@
     ) -> crate::Result<T> {
         let requested_at = uptime();
         let late = Error::Indeterminate("no answer in time".to_owned());
-        let answer = timeout(wait + AdaptiveTimeout::MAX_MEASURED, call).await.unwrap_or(Err(late));
-        if wait.is_zero() && !matches!(answer, Err(Error::Indeterminate(_))) {
-            self.update_timeout(|t| t.record_answer(uptime().saturating_sub(requested_at)));
+        let answer = timeout_awake(wait + AdaptiveTimeout::MAX_MEASURED, pin!(call)).await;
+        let answer = answer.unwrap_or(Err(late));
+        let elapsed = uptime().saturating_sub(requested_at);
+        // a longer time includes a suspension of this process
+        let is_measured = wait.is_zero() && elapsed <= AdaptiveTimeout::MAX_MEASURED;
+        if is_measured && !matches!(answer, Err(Error::Indeterminate(_))) {
+            self.update_timeout(|t| t.record_answer(elapsed));
         }
         answer
     }
@@ -480,3 +490,19 @@
         Some(clock + time.checked_sub(read_at)?)
     }
 }
+
+/// Waits for an answer up to `limit`, and a little longer if the process was suspended
+/// meanwhile: the timer then fires before an answer that has arrived can be read.
+async fn timeout_awake<T>(
+    limit: Duration,
+    mut answer: impl Future<Output = T> + Unpin,
+) -> Option<T> {
+    let end = uptime() + limit;
+    if let Ok(answer) = timeout(limit, &mut answer).await {
+        return Some(answer);
+    }
+    if uptime() <= end + MAX_TIMER_DELAY {
+        return None;
+    }
+    timeout(RESUME_TIME, answer).await.ok()
+}
--- /dev/null
+++ b/crates/runner/tests/driver.rs
@@ -0,0 +1,154 @@
+//! The driver with a backend server in the same process.
+
+use std::{
+    cell::{Cell, RefCell},
+    io::Write,
+    net::{TcpListener, TcpStream},
+    rc::Rc,
+    thread,
+    time::Duration,
+};
+
+use base::{Name, uptime};
+use futures::{FutureExt, future::LocalBoxFuture};
+use lease::{
+    Batch, BatchTask, Class, LeaseBounds, LeaseTimings, Listing, Resources, RunProgress, SessionId,
+    StartOrder, StopOrder,
+};
+use runner::{Announcement, Backend, Driver, Renewal, RenewalReply, Result, Terms};
+use tokio::{io::AsyncReadExt, sync::oneshot, time::sleep};
+
+const ENTRY: SessionId = SessionId(1);
+/// Time until the backend server answers a start order.
+const START_TIME: Duration = Duration::from_millis(10);
+
+/// Backend server that answers each start order over a connection, as a real one does.
+#[derive(Default)]
+struct FakeBackend {
+    starts: Cell<u32>,
+    stops: Cell<u32>,
+    running: RefCell<Vec<RunProgress>>,
+}
+
+impl FakeBackend {
+    async fn answer_start(&self, order: &StartOrder) -> Result<Duration> {
+        self.starts.set(self.starts.get() + 1);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let mut answering = TcpStream::connect(address).expect("it listens");
+        let (waiting, _) = listener.accept().expect("it is connected");
+        waiting.set_nonblocking(true).expect("it is open");
+        let mut waiting = tokio::net::TcpStream::from_std(waiting).expect("it is open");
+        thread::spawn(move || {
+            thread::sleep(START_TIME);
+            answering.write_all(&[1]).expect("the answer is sent");
+        });
+        // another task reads the answer and passes it on, as in an HTTP client
+        let (sender, answer) = oneshot::channel();
+        actix::spawn(async move {
+            waiting.read_u8().await.expect("the answer arrives");
+            let _ = sender.send(());
+        });
+        answer.await.expect("the answer is passed on");
+        let row = RunProgress { task: order.task.clone(), run: order.run, percent: 1 };
+        self.running.borrow_mut().push(row);
+        Ok(uptime())
+    }
+
+    async fn answer_renewal(&self, wait: Duration) -> Result<RenewalReply> {
+        sleep(wait).await;
+        let running = self.running.borrow().clone();
+        let listing = Listing { started_ms: 1, running, ..Listing::default() };
+        Ok(RenewalReply { clock: uptime(), listing })
+    }
+}
+
+impl Backend for FakeBackend {
+    fn start<'a>(
+        &'a self,
+        order: &'a StartOrder,
+        _terms: Terms,
+    ) -> LocalBoxFuture<'a, Result<Duration>> {
+        self.answer_start(order).boxed_local()
+    }
+
+    fn stop<'a>(&'a self, _order: &'a StopOrder, _fence: u64) -> LocalBoxFuture<'a, Result<()>> {
+        self.stops.set(self.stops.get() + 1);
+        async { Ok(()) }.boxed_local()
+    }
+
+    fn renew(&self, renewal: Renewal) -> LocalBoxFuture<'_, Result<RenewalReply>> {
+        self.answer_renewal(renewal.wait).boxed_local()
+    }
+
+    fn set_instance(&self, _id: &Name) {}
+}
+
+fn announcement(id: &str, started_ms: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        started_ms,
+        sequence,
+        capacity: Resources { cpu: 16_000, memory: 1000, gpu: 0 },
+        labels: Vec::new(),
+        draining: false,
+        remaining: None,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+fn batch() -> Batch {
+    Batch {
+        number: 1,
+        job: "job".into(),
+        spec: "spec".into(),
+        resources: Resources { cpu: 1000, memory: 1, gpu: 0 },
+        estimate: Duration::from_secs(2),
+        class: Class::default(),
+        max_wait: Duration::from_millis(500),
+        time_left: Duration::from_secs(10),
+        tasks: vec![BatchTask { index: 0, run: 1 }],
+    }
+}
+
+/// A driver with a ready backend server.
+async fn start_driver(backend: &Rc<FakeBackend>) -> Rc<Driver> {
+    let timings = LeaseTimings::new(&LeaseBounds::default()).expect("there is time for leases");
+    let driver = Driver::new(backend.clone(), timings);
+    driver.start();
+    assert!(driver.on_announcement(announcement("i-1", 1, 1)));
+    wait_ready(&driver).await;
+    driver
+}
+
+async fn wait_ready(driver: &Driver) {
+    for _ in 0..100 {
+        if driver.is_ready() {
+            return;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the agent was never ready");
+}
+
+/// Guards against a run that is stopped and started again because its agent was
+/// suspended while the answer to its start order was under way.
+#[test]
+fn an_answer_that_arrived_during_a_suspension_counts() {
+    actix::System::new().block_on(async {
+        let backend = Rc::<FakeBackend>::default();
+        let driver = start_driver(&backend).await;
+        driver.extend_session(ENTRY, &"entry".into(), uptime());
+        let placed = driver.clone();
+        actix::spawn(async move { placed.place(ENTRY, batch()).await });
+        while backend.starts.get() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        // nothing in this thread runs meanwhile
+        thread::sleep(Duration::from_millis(300));
+        driver.extend_session(ENTRY, &"entry".into(), uptime());
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!((backend.starts.get(), backend.stops.get()), (1, 0));
+        assert_eq!(driver.counts(), (0, 1), "it runs");
+    });
+}
