runner: a delayed heartbeat doesn't bring back a backend server that left

The agent handles heartbeats and the notice that the backend server leaves in the order in which their connections are read. A heartbeat handled after the notice had a higher sequence number than the last one, so the server was taken as ready and got work. Heartbeats of the incarnation that left are now refused for 1 s. The period is bounded because the notice names no incarnation, and may itself be a delayed one of an earlier incarnation with the same name.

a_delayed_heartbeat_of_a_server_that_left_is_refused failed before the change. Run: cargo test -p runner.

--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -34,6 +34,10 @@
 /// How far a fencing token is raised above a refused one: more than the clocks
 /// of two incarnations of an agent may differ.
 const FENCE_STEP_MS: u64 = 20_000;
+/// How long heartbeats of a backend server that has left are refused: they come over
+/// other connections than the notice that it leaves, and may be handled after it. Not
+/// longer, because that notice may itself be late, and of an earlier incarnation.
+const DEPARTURE_PERIOD: Duration = Duration::from_secs(1);
 /// Most tasks that may be queued for one backend server.
 const MAX_QUEUED_TASKS: usize = 1024;
 
@@ -55,6 +59,8 @@
     /// wake the calls that wait for progress of a batch
     notifiers: RefCell<SecondaryMap<BatchKey, Rc<Notify>>>,
     announcement: RefCell<Option<Announcement>>,
+    /// when the announced backend server gave notice that it leaves
+    left_at: Cell<Option<Uptime>>,
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
@@ -81,6 +87,7 @@
             wake: Notify::new(),
             notifiers: RefCell::default(),
             announcement: RefCell::new(None),
+            left_at: Cell::default(),
             listing_requested: Cell::new(false),
             answer_timeout: Cell::default(),
             was_ready: Cell::default(),
@@ -99,7 +106,7 @@
     }
 
     /// Handles an announcement of the backend server; returns false if it is of
-    /// an earlier incarnation or older than the last one.
+    /// an earlier incarnation, older than the last one, or of one that has just left.
     pub fn on_announcement(self: &Rc<Self>, announcement: Announcement) -> bool {
         if self.is_outdated(&announcement) {
             return false;
@@ -108,6 +115,7 @@
         let (started_ms, capacity, draining) =
             (announcement.started_ms, announcement.capacity, announcement.draining);
         *self.announcement.borrow_mut() = Some(announcement);
+        self.left_at.set(None);
         self.with_scheduler(|scheduler, now| {
             scheduler.on_announcement(started_ms, capacity, draining, now)
         });
@@ -118,6 +126,7 @@
     pub fn on_departure(self: &Rc<Self>, id: &str) {
         let known = self.announcement.borrow().as_ref().is_some_and(|a| &*a.id == id);
         if known {
+            self.left_at.set(Some(uptime()));
             self.with_scheduler(|scheduler, now| scheduler.on_backend_exit(now));
         }
     }
@@ -225,7 +234,8 @@
         let known = self.announcement.borrow();
         let Some(known) = known.as_ref() else { return false };
         if new.id == known.id && new.started_ms == known.started_ms {
-            return new.sequence <= known.sequence;
+            let has_left = self.left_at.get().is_some_and(|at| uptime() < at + DEPARTURE_PERIOD);
+            return has_left || new.sequence <= known.sequence;
         }
         new.started_ms < known.started_ms
     }
--- a/crates/runner/tests/driver.rs
+++ b/crates/runner/tests/driver.rs
@@ -152,3 +152,31 @@
         assert_eq!(driver.counts(), (0, 1), "it runs");
     });
 }
+
+/// Guards against work for a backend server that has left: its last heartbeat may be
+/// handled after the notice that it leaves, as they come over separate connections.
+#[test]
+fn a_delayed_heartbeat_of_a_server_that_left_is_refused() {
+    actix::System::new().block_on(async {
+        let driver = start_driver(&Rc::default()).await;
+        driver.on_departure("i-1");
+        assert!(!driver.on_announcement(announcement("i-1", 1, 2)), "it was sent before");
+        assert!(!driver.is_ready());
+        // the next incarnation, with a name of its own or with the same
+        assert!(driver.on_announcement(announcement("i-1", 2, 1)));
+        wait_ready(&driver).await;
+    });
+}
+
+/// Guards against an agent that refuses its backend server for good after a delayed
+/// notice of an earlier incarnation with the same name.
+#[test]
+fn a_server_that_goes_on_after_it_left_is_used_again() {
+    actix::System::new().block_on(async {
+        let driver = start_driver(&Rc::default()).await;
+        driver.on_departure("i-1");
+        sleep(Duration::from_millis(1100)).await;
+        assert!(driver.on_announcement(announcement("i-1", 1, 9)));
+        wait_ready(&driver).await;
+    });
+}
