lease: runs end before their backend server exits, or run elsewhere

Heartbeats of a backend server have remaining_ms while it drains, and cold_remaining_ms after its start. Both were ignored: a run that couldn't end before the exit was known as lost only when the server was gone, and times of a cold server were recorded in its speed. Now a run that by its progress (or else its estimate times the speed of the server) can't end in the time left is stopped and returned as lost. Runs that began on a cold server aren't recorded in its speed, and they stall after twice the usual time. Without both fields decisions are as before.

on_announcement takes a Phase, which a bool converts to.

--- a/crates/lease/src/run.rs
+++ b/crates/lease/src/run.rs
@@ -54,6 +54,8 @@
     AgentStopping,
     /// its backend server restarted
     BackendRestarted,
+    /// its backend server exits before it can end
+    BackendLeaving,
 }
 
 impl StopReason {
@@ -65,6 +67,7 @@
             StopReason::Stalled => "made no progress",
             StopReason::AgentStopping => "agent stops",
             StopReason::BackendRestarted => "backend server started anew",
+            StopReason::BackendLeaving => "backend server exits before it can end",
         }
     }
 }
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     AgentLoad, Batch, BatchLookup, BatchTask, Effect, EndCause, Ending, HealthSettings,
-    LeaseTimings, Listing, Progress, RefusalReason, Resources, RunEnd, RunKey, RunProgress,
+    LeaseTimings, Listing, Phase, Progress, RefusalReason, Resources, RunEnd, RunKey, RunProgress,
     SessionId, StartOrder, StartOutcome, StopOrder, TaskRef, TaskResult,
     batch::{BatchKey, BatchState},
     health::Health,
@@ -42,6 +42,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Multiple of the longest step of a run after which it has stalled.
 const STALL_STEPS: u32 = 5;
+/// Multiple of these times on a cold backend server, whose runs are slower at first.
+const COLD_STALL_FACTOR: u32 = 2;
 
 /// Settings of a scheduler.
 #[derive(Clone, Debug)]
@@ -83,6 +85,8 @@
     /// no starts before this
     next_start: Uptime,
     is_stopping: bool,
+    /// runs stopped because the backend server exits before they can end
+    cut_short: u64,
     effects: Vec<Effect>,
 }
 
@@ -92,6 +96,10 @@
     started_ms: u64,
     capacity: Resources,
     draining: bool,
+    /// earliest time at which it exits, if it said so while it drains
+    leaves_at: Option<Uptime>,
+    /// end of the newest period in which it was cold
+    cold_until: Uptime,
 }
 
 impl Scheduler {
@@ -115,6 +123,7 @@
             ended_runs: HashMap::new(),
             next_start: Uptime::ZERO,
             is_stopping: false,
+            cut_short: 0,
             effects: Vec::new(),
         }
     }
@@ -124,14 +133,20 @@
         &mut self,
         started_ms: u64,
         capacity: Resources,
-        draining: bool,
+        phase: impl Into<Phase>,
         now: Uptime,
     ) {
         self.on_incarnation(started_ms, now);
+        let Phase { draining, remaining, cold_remaining } = phase.into();
         let was_draining = self.backend.as_ref().is_some_and(|b| b.draining);
-        self.backend = Some(Backend { started_ms, capacity, draining });
+        let leaves_at = remaining.filter(|_| draining).map(|remaining| now + remaining);
+        let cold_until = self.next_cold_end(cold_remaining, now);
+        self.backend = Some(Backend { started_ms, capacity, draining, leaves_at, cold_until });
         if draining && !was_draining {
-            Event::BackendDraining.note(&[("born", started_ms.into())]);
+            Event::BackendDraining.note(&[
+                ("born", started_ms.into()),
+                ("remaining_ms", remaining.map_or(-1, |r| millis(r) as i64).into()),
+            ]);
             self.return_queued("backend server leaves", now);
         }
         self.advance(now);
@@ -469,6 +484,21 @@
         }
     }
 
+    /// Whether the backend server has announced that it drains.
+    pub fn is_draining(&self) -> bool {
+        self.backend.as_ref().is_some_and(|b| b.draining)
+    }
+
+    /// Whether the backend server is slow because it started recently.
+    pub fn is_cold(&self, now: Uptime) -> bool {
+        now < self.cold_until()
+    }
+
+    /// Number of runs stopped because the backend server exits before they can end.
+    pub fn cut_short(&self) -> u64 {
+        self.cut_short
+    }
+
     /// Queued tasks and active runs.
     pub fn counts(&self) -> (usize, usize) {
         (self.queue.len(), self.active_runs().count())
@@ -486,6 +516,7 @@
         self.expire_sessions(now);
         self.expire_leases(now);
         self.return_overdue(now);
+        self.stop_unfinishable(now);
         self.start_queued(now);
         self.return_hopeless(now);
         self.retry_stops(now);
@@ -538,6 +569,69 @@
         self.leased_until + LeaseTimings::worst_case_expiry(ttl).saturating_sub(ttl) + EXPIRY_MARGIN
     }
 
+    /// Stops the runs that can't end before the backend server exits, so that their
+    /// tasks run elsewhere earlier.
+    fn stop_unfinishable(&mut self, now: Uptime) {
+        let Some(leaves_at) = self.backend.as_ref().and_then(|b| b.leaves_at) else { return };
+        let is_unfinishable = |run: &Run| {
+            matches!(run.state, State::Starting | State::Running(_))
+                && self.expected_end(run) > leaves_at
+        };
+        let unfinishable = self.runs.iter().filter(|(_, r)| is_unfinishable(r));
+        let unfinishable: Vec<RunKey> = unfinishable.map(|(key, _)| key).collect();
+        for key in unfinishable {
+            let Some(run) = self.runs.get(key) else { continue };
+            Event::RunCutShort.note(&[
+                ("job", (&*run.task.job).into()),
+                ("index", run.task.index.into()),
+                ("run", run.number.into()),
+                ("percent", run.progress.percent.into()),
+                ("left_ms", millis(leaves_at.saturating_sub(now)).into()),
+            ]);
+            self.cut_short += 1;
+            self.stop_run(key, StopReason::BackendLeaving, now);
+        }
+    }
+
+    /// Expected end of an active run, by its progress or else by its estimate.
+    fn expected_end(&self, run: &Run) -> Uptime {
+        let ProgressTracker { percent, changed_at, .. } = run.progress;
+        if percent > 0 {
+            let elapsed = changed_at.saturating_sub(run.ordered_at);
+            return run.ordered_at + elapsed.mul_f64(100.0 / f64::from(percent));
+        }
+        let estimate = self.batches.get(run.batch).map(|b| b.estimate).unwrap_or_default();
+        run.ordered_at + estimate.mul_f64(self.speed.slowness())
+    }
+
+    fn cold_until(&self) -> Uptime {
+        self.backend.as_ref().map(|b| b.cold_until).unwrap_or_default()
+    }
+
+    /// End of the newest cold period after an announcement that it lasts for
+    /// `remaining` more.
+    fn next_cold_end(&self, remaining: Duration, now: Uptime) -> Uptime {
+        let was_cold = self.is_cold(now);
+        if remaining.is_zero() {
+            if was_cold {
+                Event::BackendWarm.note(&[]);
+            }
+            return self.cold_until().min(now);
+        }
+        if !was_cold {
+            Event::BackendCold.note(&[("remaining_ms", millis(remaining).into())]);
+        }
+        now + remaining
+    }
+
+    /// Records the run time of a task, unless its run began on a cold backend server,
+    /// whose times say nothing about its usual speed.
+    fn observe_speed(&mut self, ordered_at: Uptime, run_time: Duration, estimate: Duration) {
+        if ordered_at >= self.cold_until() {
+            self.speed.observe(run_time, estimate);
+        }
+    }
+
     fn return_overdue(&mut self, now: Uptime) {
         while let Some((deadline, key)) = self.queue.first().copied().filter(|(d, _)| *d < now) {
             self.queue.remove(&(deadline, key));
@@ -804,14 +898,16 @@
             progress.changed_at = now;
             if percent >= SAMPLE_PERCENT && !progress.is_sampled {
                 progress.is_sampled = true;
-                let elapsed = now.saturating_sub(run.ordered_at);
-                self.speed.observe(elapsed.mul_f64(100.0 / f64::from(percent)), estimate);
+                let ordered_at = run.ordered_at;
+                let run_time = now.saturating_sub(ordered_at).mul_f64(100.0 / f64::from(percent));
+                self.observe_speed(ordered_at, run_time, estimate);
             }
             return;
         }
-        if seen_at.saturating_sub(progress.changed_at)
-            > STALL_TIMEOUT.max(progress.longest_step * STALL_STEPS)
-        {
+        let limit = STALL_TIMEOUT.max(progress.longest_step * STALL_STEPS);
+        let silence = seen_at.saturating_sub(progress.changed_at);
+        let factor = if self.is_cold(now) { COLD_STALL_FACTOR } else { 1 };
+        if silence > limit * factor {
             self.record_failure(now);
             self.stop_run(key, StopReason::Stalled, now);
         }
@@ -946,7 +1042,7 @@
         };
         if ending == Ending::Done && !run.progress.is_sampled {
             let estimate = self.batches.get(run.batch).map(|b| b.estimate).unwrap_or_default();
-            self.speed.observe(run_time, estimate);
+            self.observe_speed(run.ordered_at, run_time, estimate);
         }
         Event::TaskEnded.note(&[
             ("job", (&*run.task.job).into()),
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -8,8 +8,8 @@
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
     AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, Effect, HealthSettings,
-    LeaseTimings, Progress, RefusalReason, Scheduler, SchedulerSettings, SessionId, StartOrder,
-    StartOutcome, StopOrder,
+    LeaseTimings, Phase, Progress, RefusalReason, Scheduler, SchedulerSettings, SessionId,
+    StartOrder, StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
 use tokio::{
@@ -112,12 +112,16 @@
             return false;
         }
         self.backend.set_instance(&announcement.id);
-        let (started_ms, capacity, draining) =
-            (announcement.started_ms, announcement.capacity, announcement.draining);
+        let (started_ms, capacity) = (announcement.started_ms, announcement.capacity);
+        let phase = Phase {
+            draining: announcement.draining,
+            remaining: announcement.remaining,
+            cold_remaining: announcement.cold_remaining,
+        };
         *self.announcement.borrow_mut() = Some(announcement);
         self.left_at.set(None);
         self.with_scheduler(|scheduler, now| {
-            scheduler.on_announcement(started_ms, capacity, draining, now)
+            scheduler.on_announcement(started_ms, capacity, phase, now)
         });
         true
     }
@@ -150,6 +154,17 @@
         self.scheduler.borrow().counts()
     }
 
+    /// Whether the backend server drains, and whether it is slow after its start.
+    pub fn backend_phase(&self) -> (bool, bool) {
+        let scheduler = self.scheduler.borrow();
+        (scheduler.is_draining(), scheduler.is_cold(uptime()))
+    }
+
+    /// Number of runs stopped because the backend server exits before they can end.
+    pub fn cut_short(&self) -> u64 {
+        self.scheduler.borrow().cut_short()
+    }
+
     /// Extends the session of an entry that is known to have been alive at `at`.
     pub fn extend_session(self: &Rc<Self>, session: SessionId, name: &Name, at: Uptime) {
         let now = uptime();
