dispatch: a batch of before a suspension is not sent

An entry that was suspended between its plan and the message to an agent sent the batch with the caller's time left and the longest wait of before. The agent could queue and start the tasks for that much longer than the caller waits. Sessions don't prevent it, since the message proves that the entry is alive now.

Run: cargo test -p dispatch.

--- a/crates/dispatch/src/agent_client.rs
+++ b/crates/dispatch/src/agent_client.rs
@@ -28,6 +28,12 @@
 impl AgentClient {
     /// Places a batch, or follows one that is placed, until there is progress.
     pub async fn wait_update(&self, batch: &PlacedBatch, mut placed: bool) -> BatchUpdate {
+        // this entry was suspended after it made the plan: the caller has less time left
+        // than the batch says, or has gone
+        let age = uptime().saturating_sub(batch.sent_at);
+        if !placed && age > self.timings.heartbeat_interval() {
+            return BatchUpdate::NeverReceived;
+        }
         loop {
             let (number, worker) = batch.agent.link();
             let call = async {
