runner: test of a server that left and an agent that restarted

Shows that an agent without memory takes the delayed heartbeat of a server that has left, but no work for it. Passed at once; no change of the code was needed. Run: cargo test -p runner.

--- a/crates/runner/tests/driver.rs
+++ b/crates/runner/tests/driver.rs
@@ -12,10 +12,10 @@
 use base::{Name, uptime};
 use futures::{FutureExt, future::LocalBoxFuture};
 use lease::{
-    Batch, BatchTask, Class, LeaseBounds, LeaseTimings, Listing, Resources, RunProgress, SessionId,
-    StartOrder, StopOrder,
+    Batch, BatchTask, Class, LeaseBounds, LeaseTimings, Listing, RefusalReason, Resources,
+    RunProgress, SessionId, StartOrder, StopOrder,
 };
-use runner::{Announcement, Backend, Driver, Renewal, RenewalReply, Result, Terms};
+use runner::{Announcement, Backend, Driver, Error, Renewal, RenewalReply, Result, Terms};
 use tokio::{io::AsyncReadExt, sync::oneshot, time::sleep};
 
 const ENTRY: SessionId = SessionId(1);
@@ -28,6 +28,10 @@
     starts: Cell<u32>,
     stops: Cell<u32>,
     running: RefCell<Vec<RunProgress>>,
+    /// name that orders are addressed to
+    addressed: RefCell<Name>,
+    /// name of the server that answers; any if it is empty
+    current: Name,
 }
 
 impl FakeBackend {
@@ -57,6 +61,9 @@
 
     async fn answer_renewal(&self, wait: Duration) -> Result<RenewalReply> {
         sleep(wait).await;
+        if !self.current.is_empty() && *self.addressed.borrow() != self.current {
+            return Err(Error::Refused { reason: RefusalReason::Busy, clock: None });
+        }
         let running = self.running.borrow().clone();
         let listing = Listing { started_ms: 1, running, ..Listing::default() };
         Ok(RenewalReply { clock: uptime(), listing })
@@ -81,7 +88,9 @@
         self.answer_renewal(renewal.wait).boxed_local()
     }
 
-    fn set_instance(&self, _id: &Name) {}
+    fn set_instance(&self, id: &Name) {
+        *self.addressed.borrow_mut() = id.clone();
+    }
 }
 
 fn announcement(id: &str, started_ms: u64, sequence: u64) -> Announcement {
@@ -180,3 +189,23 @@
         wait_ready(&driver).await;
     });
 }
+
+/// Guards against a restarted agent that takes the delayed heartbeat of a server that has
+/// left for one of its backend server: it has no memory of either.
+#[test]
+fn a_restarted_agent_uses_no_server_that_left() {
+    actix::System::new().block_on(async {
+        let backend = FakeBackend { current: "i-2".into(), ..FakeBackend::default() };
+        let timings = LeaseTimings::new(&LeaseBounds::default()).expect("there is time for leases");
+        let driver = Driver::new(Rc::new(backend), timings);
+        driver.start();
+        assert!(driver.on_announcement(announcement("i-1", 1, 9)), "it is the first one");
+        for _ in 0..60 {
+            sleep(Duration::from_millis(5)).await;
+            assert!(!driver.is_ready(), "no listing of it has come");
+        }
+        assert!(driver.on_announcement(announcement("i-2", 2, 1)));
+        wait_ready(&driver).await;
+        assert!(!driver.on_announcement(announcement("i-1", 1, 10)));
+    });
+}
