--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -7,7 +8,7 @@
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
     AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, CLASSES, CentreState,
-    ClassStats, Effect, HealthSettings, LeaseTimings, Progress, RefusalReason, Scheduler,
+    ClassStats, Effect, HealthSettings, LeaseTimings, Phase, Progress, RefusalReason, Scheduler,
     SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
@@ -21,6 +22,11 @@
 /// Longest wait of a listing while answers are being lost: a lost listing hides
 /// the ends of runs for as long as it may wait.
 const SHORT_LISTING_WAIT: Duration = Duration::from_millis(20);
+/// A timer that fires later than this after its time shows that the process was
+/// suspended, or got no processor.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
+/// Time to read the answers that arrived during a suspension.
+const RESUME_TIME: Duration = Duration::from_millis(20);
 /// How often a cancelled batch is checked for runs.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after a failed listing, since the next one may fail immediately too.
@@ -28,6 +34,10 @@
 /// How far a fencing token is raised above a refused one: more than the clocks
 /// of two incarnations of an agent may differ.
 const FENCE_STEP_MS: u64 = 20_000;
+/// How long heartbeats of a backend server that has left are refused: they come over
+/// other connections than the notice that it leaves, and may be handled after it. Not
+/// longer, because that notice may itself be late, and of an earlier incarnation.
+const DEPARTURE_PERIOD: Duration = Duration::from_secs(1);
 /// Most tasks that may be queued for one backend server.
 const MAX_QUEUED_TASKS: usize = 1024;
 
@@ -51,6 +61,8 @@
     announcement: RefCell<Option<Announcement>>,
     /// state of this agent's data centre
     centre: Cell<CentreState>,
+    /// when the announced backend server gave notice that it leaves
+    left_at: Cell<Option<Uptime>>,
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
@@ -78,6 +90,7 @@
             notifiers: RefCell::default(),
             announcement: RefCell::new(None),
             centre: Cell::default(),
+            left_at: Cell::default(),
             listing_requested: Cell::new(false),
             answer_timeout: Cell::default(),
             was_ready: Cell::default(),
@@ -96,17 +109,22 @@
     }
 
     /// Handles an announcement of the backend server; returns false if it is of
-    /// an earlier incarnation or older than the last one.
+    /// an earlier incarnation, older than the last one, or of one that has just left.
     pub fn on_announcement(self: &Rc<Self>, announcement: Announcement) -> bool {
         if self.is_outdated(&announcement) {
             return false;
         }
         self.backend.set_instance(&announcement.id);
-        let (started_ms, capacity, draining) =
-            (announcement.started_ms, announcement.capacity, announcement.draining);
+        let (started_ms, capacity) = (announcement.started_ms, announcement.capacity);
+        let phase = Phase {
+            draining: announcement.draining,
+            remaining: announcement.remaining,
+            cold_remaining: announcement.cold_remaining,
+        };
         *self.announcement.borrow_mut() = Some(announcement);
+        self.left_at.set(None);
         self.with_scheduler(|scheduler, now| {
-            scheduler.on_announcement(started_ms, capacity, draining, now)
+            scheduler.on_announcement(started_ms, capacity, phase, now)
         });
         true
     }
@@ -127,6 +145,7 @@
     pub fn on_departure(self: &Rc<Self>, id: &str) {
         let known = self.announcement.borrow().as_ref().is_some_and(|a| &*a.id == id);
         if known {
+            self.left_at.set(Some(uptime()));
             self.with_scheduler(|scheduler, now| scheduler.on_backend_exit(now));
         }
     }
@@ -155,6 +174,17 @@
         self.scheduler.borrow().class_stats()
     }
 
+    /// Whether the backend server drains, and whether it is slow after its start.
+    pub fn backend_phase(&self) -> (bool, bool) {
+        let scheduler = self.scheduler.borrow();
+        (scheduler.is_draining(), scheduler.is_cold(uptime()))
+    }
+
+    /// Number of runs stopped because the backend server exits before they can end.
+    pub fn cut_short(&self) -> u64 {
+        self.scheduler.borrow().cut_short()
+    }
+
     /// Extends the session of an entry that is known to have been alive at `at`.
     pub fn extend_session(self: &Rc<Self>, session: SessionId, name: &Name, at: Uptime) {
         let now = uptime();
@@ -244,7 +274,8 @@
         let known = self.announcement.borrow();
         let Some(known) = known.as_ref() else { return false };
         if new.id == known.id && new.started_ms == known.started_ms {
-            return new.sequence <= known.sequence;
+            let has_left = self.left_at.get().is_some_and(|at| uptime() < at + DEPARTURE_PERIOD);
+            return has_left || new.sequence <= known.sequence;
         }
         new.started_ms < known.started_ms
     }
@@ -444,10 +475,10 @@
         // keeps running after the timeout: a late answer still shows the response time
         let mut measured = actix::spawn(self.clone().measure(wait, call));
         let limit = wait + self.answer_timeout.get().limit();
-        match timeout(limit, &mut measured).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(e)) => Err(Error::Indeterminate(e.to_string())),
-            Err(_) => {
+        match timeout_awake(limit, &mut measured).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(e)) => Err(Error::Indeterminate(e.to_string())),
+            None => {
                 self.update_timeout(|t| t.record_timeout(uptime()));
                 Err(Error::Indeterminate(format!("none within {} ms", limit.as_millis())))
             }
@@ -463,9 +494,13 @@
     ) -> crate::Result<T> {
         let requested_at = uptime();
         let late = Error::Indeterminate("no answer in time".to_owned());
-        let answer = timeout(wait + AdaptiveTimeout::MAX_MEASURED, call).await.unwrap_or(Err(late));
-        if wait.is_zero() && !matches!(answer, Err(Error::Indeterminate(_))) {
-            self.update_timeout(|t| t.record_answer(uptime().saturating_sub(requested_at)));
+        let answer = timeout_awake(wait + AdaptiveTimeout::MAX_MEASURED, pin!(call)).await;
+        let answer = answer.unwrap_or(Err(late));
+        let elapsed = uptime().saturating_sub(requested_at);
+        // a longer time includes a suspension of this process
+        let is_measured = wait.is_zero() && elapsed <= AdaptiveTimeout::MAX_MEASURED;
+        if is_measured && !matches!(answer, Err(Error::Indeterminate(_))) {
+            self.update_timeout(|t| t.record_answer(elapsed));
         }
         answer
     }
@@ -505,3 +540,19 @@
         Some(clock + time.checked_sub(read_at)?)
     }
 }
+
+/// Waits for an answer up to `limit`, and a little longer if the process was suspended
+/// meanwhile: the timer then fires before an answer that has arrived can be read.
+async fn timeout_awake<T>(
+    limit: Duration,
+    mut answer: impl Future<Output = T> + Unpin,
+) -> Option<T> {
+    let end = uptime() + limit;
+    if let Ok(answer) = timeout(limit, &mut answer).await {
+        return Some(answer);
+    }
+    if uptime() <= end + MAX_TIMER_DELAY {
+        return None;
+    }
+    timeout(RESUME_TIME, answer).await.ok()
+}
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -34,6 +34,12 @@
     /// 1 while the data centre of this agent is drained
     pub centre_drained: Gauge<u64, AtomicU64>,
     classes: ClassMetrics,
+    /// 1 while the backend server drains
+    pub draining: Gauge<u64, AtomicU64>,
+    /// 1 while the backend server is slow after its start
+    pub cold: Gauge<u64, AtomicU64>,
+    /// runs stopped because the backend server exits before they can end
+    pub cut_short: Counter<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -57,8 +63,37 @@
             centre_drained.clone(),
         );
         let classes = ClassMetrics::register(&mut registry);
+        let draining = Gauge::default();
+        registry.register(
+            "backend_draining",
+            "1 while the backend server drains",
+            draining.clone(),
+        );
+        let cold = Gauge::default();
+        registry.register(
+            "backend_cold",
+            "1 while the backend server is slow after its start",
+            cold.clone(),
+        );
+        let cut_short = Counter::default();
+        registry.register(
+            "runs_cut_short",
+            "Runs stopped because the backend server exits before they can end",
+            cut_short.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, waiting, running, config_version, centre_drained, classes, links }
+        Self {
+            registry,
+            waiting,
+            running,
+            config_version,
+            centre_drained,
+            classes,
+            draining,
+            cold,
+            cut_short,
+            links,
+        }
     }
 }
 
