--- a/crates/lease/tests/classes.rs
+++ b/crates/lease/tests/classes.rs
@@ -567,8 +567,8 @@
     let mut scene = Scene::new(1024);
     let mut model = LatestStartFirst::default();
     let mut keys = Vec::new();
+    let mut started = Vec::new();
     for _ in 0..200 {
-        let mut started = Vec::new();
         match rng.random_range(0..4) {
             0 | 1 => {
                 let cpu = rng.random_range(500..6000);
@@ -607,14 +607,66 @@
         {
             return false;
         }
+        // the scheduler decides again at the outcome of each start
+        started = started.iter().flat_map(|_| model.advance(scene.now)).collect();
     }
     true
 }
 
+/// Whether tasks of all classes, of callers in three data centres, all end, none starts after
+/// its latest start, and no more start than fit.
+fn keeps_its_promises(seed: u64) -> bool {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut scene = Scene::new(30);
+    let mut tasks: Vec<(BatchKey, u32, Uptime)> = Vec::new();
+    let mut running: Vec<u64> = Vec::new();
+    for round in 0..600 {
+        match rng.random_range(0..4) {
+            0 | 1 if round < 300 => {
+                let cpu = rng.random_range(500..6000);
+                let max_wait = Duration::from_millis(rng.random_range(0..400));
+                let centre = ["a", "b", "c"][rng.random_range(0..3)];
+                let class = Class::from_rank(rng.random_range(0..CLASSES));
+                let estimate = Duration::from_millis(rng.random_range(0..900));
+                let key = scene.place_for(centre, class, cpu, max_wait, estimate);
+                tasks.push((key, cpu, scene.now + max_wait));
+            }
+            2 if !running.is_empty() => {
+                scene.end(running.swap_remove(rng.random_range(0..running.len())));
+            }
+            _ => scene.advance(Duration::from_millis(rng.random_range(0..20))),
+        }
+        // the scheduler decides again at the outcome of each start
+        loop {
+            let started = scene.starts();
+            if started.is_empty() {
+                break;
+            }
+            if started.iter().any(|n| tasks[*n as usize - 1].2 < scene.now) {
+                return false;
+            }
+            running.extend(started);
+        }
+        let used: u32 = running.iter().map(|n| tasks[*n as usize - 1].1).sum();
+        if used > 16_000 || scene.scheduler.load(scene.now).free.cpu != 16_000 - used {
+            return false;
+        }
+    }
+    for number in running {
+        scene.end(number);
+    }
+    // ends that let others start can't occur any more: all latest starts have passed
+    scene.starts().is_empty() && tasks.iter().all(|(key, ..)| scene.ending(*key).is_some())
+}
+
 quickcheck! {
     fn with_one_class_the_order_and_the_load_are_by_latest_start_alone(seed: u64) -> bool {
         decides_by_latest_start_alone(seed)
     }
+
+    fn with_several_classes_all_tasks_end_and_none_starts_late(seed: u64) -> bool {
+        keeps_its_promises(seed)
+    }
 }
 
 const LONG_WAIT: Duration = Duration::from_secs(5);
