--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -81,6 +81,22 @@
         s.end(1, &first[0], EndCause::Done);
         assert!(s.starts().is_empty(), "no start for an expired session");
     };
+    // the answer to a heartbeat proves its entry alive only when the heartbeat was sent
+    a_delayed_welcome_extends_no_session: |mut s| {
+        s.place(1, 1, 5000);
+        let order = s.starts().remove(0);
+        let sent_at = s.now;
+        s.disconnect();
+        s.now = Scene::ms(400);
+        let now = s.now;
+        s.scheduler.extend_session(ENTRY, &"entry".into(), sent_at, now);
+        assert!(s.scheduler.lease_for_start(order.key, now).is_some_and(|end| end <= sent_at + s.timings.session_ttl));
+        s.now = Scene::ms(600);
+        let now = s.now;
+        s.scheduler.extend_session(ENTRY, &"entry".into(), sent_at, now);
+        assert_eq!(s.scheduler.last_seen(ENTRY), None, "it has expired, and is not opened again");
+        assert_eq!(s.scheduler.lease_for_start(order.key, now), None);
+    };
     no_start_is_leased_once_its_session_has_expired: |mut s| {
         s.place(1, 1, 5000);
         let order = s.starts().remove(0);
