dispatch, ctl: pressure of racks from arriving jobs

Cause: an entry knew the rack of a job's data only while it placed that job.

The five racks with the highest pressure are in the report, in egretctl racks and in the metric egret_rack_pressure.

--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -129,6 +129,7 @@
                 queries::leased(entry, agent_filter, format).await
             }
             Subcommand::Jobs { format } => queries::jobs(entry, format).await,
+            Subcommand::Racks { format } => queries::racks(entry, format).await,
             Subcommand::Entries { format } => queries::entries(fleet, entry, format).await,
             Subcommand::Burn { html, format } => {
                 queries::burn(fleet, html.as_deref(), format).await
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -17,7 +17,7 @@
     /// URL of an entry
     #[bpaf(long, argument("URL"), env("EGRET_ENTRY"), fallback("http://127.0.0.1:7100".to_owned()))]
     pub entry: String,
-    /// fleet token, for `agents`, `entries`, `leased`, `jobs`, `drain` and `undrain`
+    /// fleet token, for `agents`, `entries`, `leased`, `jobs`, `racks`, `drain` and `undrain`
     #[bpaf(long, argument("TOKEN"), env("EGRET_TOKEN"), fallback(String::new()), hide_usage)]
     pub token: String,
     /// author recorded with a change; required for exceptions and confirmed losses
@@ -232,6 +232,15 @@
         #[bpaf(external)]
         format: Format,
     },
+    /// List the racks with the highest pressure at an entry that assigns tasks under leases
+    ///
+    /// `--entry` takes the metrics address of the entry.
+    /// Example: egretctl --entry http://127.0.0.1:7102 --token T racks
+    #[bpaf(command("racks"))]
+    Racks {
+        #[bpaf(external)]
+        format: Format,
+    },
     /// List the entries and the state that each reports
     #[bpaf(command("entries"))]
     Entries {
--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -12,6 +12,16 @@
     ready: bool,
     agents: Vec<Agent>,
     jobs: Vec<Job>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    racks: Vec<Rack>,
+}
+
+/// A rack and its pressure at the entry.
+#[derive(Serialize, Deserialize)]
+struct Rack {
+    name: String,
+    pressure: f64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -32,6 +42,10 @@
     unheard_ms: u64,
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Racks(Vec<Rack>);
+
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 struct Jobs(Vec<Job>);
@@ -84,6 +98,14 @@
     }
 }
 
+impl Rows for Racks {
+    const TITLES: &'static [&'static str] = &["RACK", "PRESSURE"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        self.0.iter().map(|r| vec![r.name.clone(), format!("{:.2}", r.pressure)]).collect()
+    }
+}
+
 impl Rows for Jobs {
     const TITLES: &'static [&'static str] = &["JOB", "QUEUE", "STARTED", "AGE_MS"];
 
@@ -126,6 +148,12 @@
     format.print(&Jobs(jobs))
 }
 
+/// Lists the racks with the highest pressure at an entry.
+pub async fn racks(entry: &Entry, format: Format) -> Result<()> {
+    let racks = fetch_report(entry).await?.racks;
+    format.print(&Racks(racks))
+}
+
 async fn fetch_report(entry: &Entry) -> Result<Report> {
     entry.get("/admin/report").await?.json()
 }
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -125,6 +125,13 @@
         self.known.borrow().values().map(|a| a.report()).collect()
     }
 
+    /// Labels and millicores of each agent that accepts work.
+    pub fn capacities(&self) -> Vec<(Rc<[Name]>, u32)> {
+        let (known, now) = (self.known.borrow(), uptime());
+        let accepting = known.values().filter(|a| a.load().ready && self.is_usable(a, now));
+        accepting.map(|a| (a.labels.borrow().clone(), a.load().capacity.cpu)).collect()
+    }
+
     /// Whether any agent accepts work.
     pub fn any_ready(&self) -> bool {
         let now = uptime();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::{Cell, RefCell, RefMut},
+    cell::{Cell, Ref, RefCell, RefMut},
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -12,11 +12,11 @@
     future::{LocalBoxFuture, Shared, WeakShared},
 };
 use lease::{LeaseTimings, SessionId};
-use placement::{ObjectiveSettings, Placer, PlacerSettings};
+use placement::{ObjectiveSettings, Placer, PlacerSettings, RackDemand};
 
 use crate::{
-    Agents, Job, JobAnswer, JobReport, Metrics, agent_client::AgentClient, cancel::CancelSignal,
-    execution::JobExecution,
+    Agents, Job, JobAnswer, JobReport, Metrics, RackReport, agent_client::AgentClient,
+    cancel::CancelSignal, execution::JobExecution,
 };
 
 /// Settings of a job dispatcher.
@@ -31,6 +31,9 @@
     pub far_factor: f64,
 }
 
+/// Racks shown in metrics and reports, so that these don't grow with the fleet.
+const SHOWN_RACKS: usize = 5;
+
 type SharedAnswer = Shared<LocalBoxFuture<'static, JobAnswer>>;
 
 /// Runs jobs, each to one answer.
@@ -39,6 +42,7 @@
     client: AgentClient,
     metrics: Arc<Metrics>,
     placer: RefCell<Placer>,
+    racks: RefCell<RackDemand>,
     started_at: Uptime,
     last_batch: Cell<u64>,
     /// deadline for all answers, once this entry stops
@@ -68,6 +72,7 @@
             client,
             metrics,
             placer: RefCell::new(placer),
+            racks: RefCell::default(),
             started_at: uptime(),
             last_batch: Cell::new(0),
             deadline: Cell::new(None),
@@ -137,6 +142,23 @@
         jobs.iter().map(report).collect()
     }
 
+    /// Updates the pressures of racks, also in the metrics.
+    pub fn refresh_racks(&self) {
+        let mut racks = self.racks.borrow_mut();
+        if racks.is_idle() {
+            return;
+        }
+        let capacities = self.agents().capacities();
+        racks.refresh(capacities.iter().map(|(labels, cpu)| (&**labels, *cpu)), uptime());
+        self.metrics.set_rack_pressures(&racks.highest(SHOWN_RACKS));
+    }
+
+    /// The racks with the highest pressure, for operators.
+    pub fn rack_report(&self) -> Vec<RackReport> {
+        let highest = self.racks.borrow().highest(SHOWN_RACKS);
+        highest.into_iter().map(|(name, pressure)| RackReport { name, pressure }).collect()
+    }
+
     /// Number of jobs in progress.
     pub fn len(&self) -> usize {
         self.jobs.borrow().len()
@@ -151,6 +173,7 @@
         if let Some(answer) = known {
             return answer;
         }
+        self.record_demand(&job);
         let (started, cancel) = (Rc::<Cell<bool>>::default(), Rc::<CancelSignal>::default());
         let (id, queue) = (job.id.clone(), job.queue.clone());
         let execution = JobExecution::new(self.clone(), job, started.clone(), cancel.clone());
@@ -163,6 +186,15 @@
         answer
     }
 
+    fn record_demand(&self, job: &Job) {
+        let mut racks = self.racks.borrow_mut();
+        if job.rack.is_empty() && racks.is_idle() {
+            return;
+        }
+        let cores = f64::from(job.count) * f64::from(job.resources.cpu) / 1000.0;
+        racks.record(&job.rack, cores * job.estimate.as_secs_f64(), uptime());
+    }
+
     pub(crate) fn client(&self) -> AgentClient {
         self.client.clone()
     }
@@ -171,6 +203,10 @@
         self.placer.borrow_mut()
     }
 
+    pub(crate) fn racks(&self) -> Ref<'_, RackDemand> {
+        self.racks.borrow()
+    }
+
     pub(crate) fn objective(&self) -> &ObjectiveSettings {
         &self.settings.objective
     }
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -398,6 +398,7 @@
             unreported: a.unreported(),
             excluded: self.avoided.contains(&a.name),
             distance_factor: self.distance_factor(a),
+            rack_pressure: self.rack_pressure(a),
             max_tasks: self.max_tasks(a),
         });
         views.collect()
@@ -408,6 +409,17 @@
         if is_near { 1.0 } else { self.dispatcher.far_factor() }
     }
 
+    /// Pressure of an agent's rack; 0 if this job needs that rack.
+    fn rack_pressure(&self, agent: &Agent) -> f64 {
+        let racks = self.dispatcher.racks();
+        if !racks.any_hot() {
+            return 0.0;
+        }
+        let labels = agent.labels.borrow();
+        let is_needed = !self.job.rack.is_empty() && labels.contains(&self.job.rack);
+        if is_needed { 0.0 } else { racks.pressure_at(&labels) }
+    }
+
     /// How many more tasks of this job an agent may get; `None` if unlimited.
     fn max_tasks(&self, agent: &Agent) -> Option<usize> {
         let limit = (self.job.max_per_agent > 0).then_some(self.job.max_per_agent as usize)?;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,7 @@
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
 pub use metrics::Metrics;
-pub use report::{AgentReport, JobReport, Report};
+pub use report::{AgentReport, JobReport, RackReport, Report};
 pub use rpc::EntryRpc;
 pub use runtime::EntryRuntime;
 pub use status::Status;
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Prometheus metrics of an entry's jobs.
 
-use std::{sync::atomic::AtomicU64, time::Duration};
+use std::{
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
+    time::Duration,
+};
 
 use base::Name;
 use daemon::{LinkMetrics, metrics_page};
@@ -35,6 +38,11 @@
     ending: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByRack {
+    rack: String,
+}
+
 /// Counters and histograms of one entry.
 pub struct Metrics {
     registry: Registry,
@@ -43,6 +51,9 @@
     endings: Family<ByEnding, Counter>,
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
+    rack_pressures: Family<ByRack, Gauge<f64, AtomicU64>>,
+    /// racks in `rack_pressures`
+    shown_racks: Mutex<Vec<ByRack>>,
     links: LinkMetrics,
 }
 
@@ -63,8 +74,24 @@
             "Version of the configuration in force",
             config_version.clone(),
         );
+        let rack_pressures = Family::default();
+        registry.register(
+            "rack_pressure",
+            "Share of the demand divided by share of the capacity, of the racks with the highest",
+            rack_pressures.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
-        Self { registry, jobs, seconds, endings, config_version, links }
+        let shown_racks = Mutex::default();
+        Self {
+            registry,
+            jobs,
+            seconds,
+            endings,
+            config_version,
+            rack_pressures,
+            shown_racks,
+            links,
+        }
     }
 }
 
@@ -79,6 +106,20 @@
         self.endings.get_or_create(&ByEnding { ending }).inc();
     }
 
+    /// Shows these racks and no others.
+    pub fn set_rack_pressures(&self, racks: &[(Name, f64)]) {
+        let mut shown = self.shown_racks.lock().unwrap_or_else(PoisonError::into_inner);
+        let racks: Vec<_> =
+            racks.iter().map(|(r, p)| (ByRack { rack: r.to_string() }, p)).collect();
+        for gone in shown.iter().filter(|s| racks.iter().all(|(r, _)| r != *s)) {
+            self.rack_pressures.remove(gone);
+        }
+        for (rack, pressure) in &racks {
+            self.rack_pressures.get_or_create(rack).set(**pressure);
+        }
+        *shown = racks.into_iter().map(|(r, _)| r).collect();
+    }
+
     /// The metrics page in the text format of Prometheus.
     pub fn page(&self) -> String {
         self.links.refresh();
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -10,6 +10,16 @@
     pub ready: bool,
     pub agents: Vec<AgentReport>,
     pub jobs: Vec<JobReport>,
+    /// racks with the highest pressure, highest first
+    pub racks: Vec<RackReport>,
+}
+
+/// Pressure of a rack at an entry.
+#[derive(Clone, Debug, Serialize)]
+pub struct RackReport {
+    pub name: Name,
+    /// share of the demand divided by share of the capacity
+    pub pressure: f64,
 }
 
 /// Status of an agent by its newest heartbeat or reply.
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -83,6 +83,7 @@
             ready: self.status.is_ready(),
             agents: self.agents.report(),
             jobs: self.dispatcher.report(),
+            racks: self.dispatcher.rack_report(),
         }
     }
 
@@ -91,6 +92,7 @@
         let mut is_closed = false;
         loop {
             self.dispatcher.metrics().config_version.set(self.fleet.version());
+            self.dispatcher.refresh_racks();
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
