dispatch: estimates of runs far from the data count the distance

Cause: an agent got the estimate of a run near the data also for runs far from it. It measures the speed of its backend server by estimates, and the expected wait by that speed. Where most runs are far, the speed is taken for three times too low, and the entry then counts the distance once more.

Change: the estimate in a batch is multiplied by the factor that the placer uses for this agent; it is 1 for jobs that name no rack.

Run: cargo test -p dispatch, all pass. The new check in tests/racks.rs failed before with an estimate of 100 ms instead of 300.

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -271,12 +271,14 @@
         *self.sent.entry(agent.name.clone()).or_default() += tasks.len();
         let number = self.dispatcher.next_batch();
         self.placed.push((agent.clone(), number));
+        // agents measure their speed and expected waits by it
+        let estimate = self.job.estimate.mul_f64(self.distance_factor(&agent));
         let batch = Batch {
             number,
             job: self.job.id.clone(),
             spec: self.job.spec.clone(),
             resources: self.job.resources,
-            estimate: self.job.estimate,
+            estimate,
             class: Class::default(),
             max_wait,
             time_left,
--- a/crates/dispatch/tests/racks.rs
+++ b/crates/dispatch/tests/racks.rs
@@ -137,7 +137,9 @@
         assert_eq!(entry.submit("first", "r0").await, [(0, ESTIMATE)]);
         sleep(Duration::from_millis(500)).await;
         // the stand-in answered no call in that time
-        (0..AGENTS).for_each(|i| drop(entry.agents.on_heartbeat(&hello(i, true), None)));
+        for i in 0..AGENTS {
+            entry.agents.on_heartbeat(&hello(i, true), None);
+        }
         entry.dispatcher.refresh_racks();
         assert!(entry.pressure("r0") > Some(1.0));
         let sent = entry.submit("free-2", "").await;
@@ -175,7 +177,7 @@
         entry.dispatcher.refresh_racks();
         assert_eq!((entry.pressure("r0"), entry.series().len()), (None, 0));
         let sent = entry.submit("b", "r0").await;
-        assert!(matches!(sent[..], [(1.., _)]), "it runs far from its data: {sent:?}");
+        assert!(matches!(sent[..], [(1.., estimate)] if estimate == ESTIMATE.mul_f64(FAR_FACTOR)), "it runs far from its data: {sent:?}");
     };
     without_rack_names_nothing_is_shown: async |entry: Entry| {
         entry.submit("a", "").await;
