--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -145,7 +145,7 @@
     /// Updates the pressures of racks, also in the metrics.
     pub fn refresh_racks(&self) {
         let mut racks = self.racks.borrow_mut();
-        if racks.is_idle() {
+        if racks.is_empty() {
             return;
         }
         let capacities = self.agents().capacities();
@@ -188,7 +188,7 @@
 
     fn record_demand(&self, job: &Job) {
         let mut racks = self.racks.borrow_mut();
-        if job.rack.is_empty() && racks.is_idle() {
+        if job.rack.is_empty() && racks.is_empty() {
             return;
         }
         let cores = f64::from(job.count) * f64::from(job.resources.cpu) / 1000.0;
--- a/crates/placement/src/racks.rs
+++ b/crates/placement/src/racks.rs
@@ -42,16 +42,11 @@
 }
 
 impl RackDemand {
-    /// Whether no rack is known; jobs that name none need no record then.
-    pub fn is_idle(&self) -> bool {
-        self.racks.is_empty()
-    }
-
     /// Records a job that arrives, with its work in core-seconds; `rack` is empty
     /// if it names none.
     pub fn record(&mut self, rack: &Name, work: f64, now: Uptime) {
         let is_named = !rack.is_empty() && rack.len() <= MAX_NAME_BYTES;
-        if self.is_idle() {
+        if self.is_empty() {
             if !is_named {
                 return;
             }
@@ -80,7 +75,7 @@
         self.any_hot = false;
         self.racks.retain(|_, demand| now.saturating_sub(demand.added_at) <= RETENTION);
         let total = self.total.at(now);
-        if self.is_idle() || total <= 0.0 {
+        if self.is_empty() || total <= 0.0 {
             return;
         }
         let mut all = 0.0;
@@ -129,8 +124,9 @@
         self.racks.len()
     }
 
+    /// Whether no rack is kept; jobs that name none need no record then.
     pub fn is_empty(&self) -> bool {
-        self.is_idle()
+        self.racks.is_empty()
     }
 
     fn evict_least(&mut self, now: Uptime) {
--- a/crates/placement/tests/racks.rs
+++ b/crates/placement/tests/racks.rs
@@ -52,7 +52,7 @@
         refresh(racks, &fleet(), end);
         assert!(!racks.any_hot() && racks.pressure("r0") < 0.5, "{}", racks.pressure("r0"));
         refresh(racks, &fleet(), end + Duration::from_secs(7));
-        assert!(racks.is_idle() && racks.highest(5).is_empty());
+        assert!(racks.is_empty() && racks.highest(5).is_empty());
     };
     // guards against a high pressure by the very first job of a rack
     the_first_job_makes_no_rack_hot: |racks| {
@@ -98,7 +98,7 @@
     // use much memory or hide the demand of others
     malformed_names_and_work_are_harmless: |racks| {
         racks.record(&"x".repeat(1 << 20).as_str().into(), 1.0, START);
-        assert!(racks.is_idle(), "too long to be kept");
+        assert!(racks.is_empty(), "too long to be kept");
         for name in ["\0", "\"\n\\{}", " ", "\u{202e}r0"] {
             racks.record(&name.into(), f64::NAN, START);
             racks.record(&name.into(), f64::INFINITY, START);
@@ -119,6 +119,6 @@
     without_rack_names_nothing_is_kept: |racks| {
         let now = load(racks, |_| "".into(), START);
         refresh(racks, &fleet(), now);
-        assert!(racks.is_idle() && !racks.any_hot());
+        assert!(racks.is_empty() && !racks.any_hot());
     };
 }
