--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -17,7 +17,8 @@
     /// URL of an entry
     #[bpaf(long, argument("URL"), env("EGRET_ENTRY"), fallback("http://127.0.0.1:7100".to_owned()))]
     pub entry: String,
-    /// fleet token, for `agents`, `entries`, `leased`, `jobs`, `racks`, `drain` and `undrain`
+    /// fleet token, for `agents`, `entries`, `leased`, `jobs`, `racks`, `drained`, `backlog`,
+    /// `drain` and `undrain`
     #[bpaf(long, argument("TOKEN"), env("EGRET_TOKEN"), fallback(String::new()), hide_usage)]
     pub token: String,
     /// author recorded with a change; required for exceptions and confirmed losses
@@ -241,6 +242,25 @@
         #[bpaf(external)]
         format: Format,
     },
+    /// List the drained data centres known to an entry, and what still runs there
+    ///
+    /// BUSY agents have runs on their backend servers, which use USED_CPU millicores.
+    /// `--entry` takes the metrics address of the entry.
+    /// Example: egretctl --entry http://127.0.0.1:7102 --token T drained
+    #[bpaf(command("drained"))]
+    Drained {
+        #[bpaf(external)]
+        format: Format,
+    },
+    /// List the jobs that wait at an entry by class, with the longest wait of each class
+    ///
+    /// `--entry` takes the metrics address of the entry.
+    /// Example: egretctl --entry http://127.0.0.1:7102 --token T backlog
+    #[bpaf(command("backlog"))]
+    Backlog {
+        #[bpaf(external)]
+        format: Format,
+    },
     /// List the entries and the state that each reports
     #[bpaf(command("entries"))]
     Entries {
--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -1,3 +1,4 @@
+use base::Utc;
 use bpaf::{Parser, long};
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +16,12 @@
     /// absent in reports of earlier versions
     #[serde(default)]
     racks: Vec<Rack>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    drains: Vec<Drain>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    backlog: Vec<ClassBacklog>,
 }
 
 /// A rack and its pressure at the entry.
@@ -24,10 +31,40 @@
     pressure: f64,
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Drains(Vec<Drain>);
+
+/// A drained data centre and what still runs there.
+#[derive(Serialize, Deserialize)]
+struct Drain {
+    centre: String,
+    version: u64,
+    since_ms: u64,
+    agents: usize,
+    busy_agents: usize,
+    used_cpu: u64,
+}
+
+/// Jobs of one class that wait at an entry.
+#[derive(Serialize, Deserialize)]
+struct ClassBacklog {
+    class: usize,
+    jobs: usize,
+    longest_wait_ms: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Backlog(Vec<ClassBacklog>);
+
 #[derive(Serialize, Deserialize)]
 struct Agent {
     name: String,
     service: String,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    centre: String,
     incarnation: u64,
     version: u64,
     ready: bool,
@@ -106,6 +143,17 @@
     }
 }
 
+impl Rows for Backlog {
+    const TITLES: &'static [&'static str] = &["CLASS", "WAITING", "LONGEST_MS"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let row = |b: &ClassBacklog| {
+            vec![b.class.to_string(), b.jobs.to_string(), b.longest_wait_ms.to_string()]
+        };
+        self.0.iter().map(row).collect()
+    }
+}
+
 impl Rows for Jobs {
     const TITLES: &'static [&'static str] = &["JOB", "QUEUE", "STARTED", "AGE_MS"];
 
@@ -117,6 +165,21 @@
     }
 }
 
+impl Rows for Drains {
+    const TITLES: &'static [&'static str] =
+        &["CENTRE", "SINCE", "AGENTS", "BUSY", "USED_CPU", "VERSION"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let row = |d: &Drain| {
+            let since = Utc(d.since_ms).to_string();
+            let numbers = [d.agents as u64, d.busy_agents as u64, d.used_cpu, d.version];
+            let numbers = numbers.map(|n| n.to_string());
+            [d.centre.clone(), since].into_iter().chain(numbers).collect()
+        };
+        self.0.iter().map(row).collect()
+    }
+}
+
 /// Which leased agents are listed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AgentFilter {
@@ -141,6 +204,11 @@
     format.print(&report)
 }
 
+/// Lists the jobs that wait at an entry by class, the most urgent class first.
+pub async fn backlog(entry: &Entry, format: Format) -> Result<()> {
+    format.print(&Backlog(fetch_report(entry).await?.backlog))
+}
+
 /// Lists the jobs in progress at an entry, oldest first.
 pub async fn jobs(entry: &Entry, format: Format) -> Result<()> {
     let mut jobs = fetch_report(entry).await?.jobs;
@@ -154,6 +222,11 @@
     format.print(&Racks(racks))
 }
 
+/// Lists the drained data centres known to an entry, and what still runs there.
+pub async fn drained(entry: &Entry, format: Format) -> Result<()> {
+    format.print(&Drains(fetch_report(entry).await?.drains))
+}
+
 async fn fetch_report(entry: &Entry) -> Result<Report> {
     entry.get("/admin/report").await?.json()
 }
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -4,7 +4,7 @@
 };
 
 use base::{Name, Uptime, uptime};
-use lease::{AgentLoad, Resources};
+use lease::{AgentLoad, CLASSES, Class, Resources};
 use tokio::sync::Notify;
 use topology::{Candidate, Rank};
 use wire::{Hello, egret_capnp::worker};
@@ -16,6 +16,7 @@
     pub name: Name,
     pub incarnation: u64,
     pub service: Name,
+    pub centre: Name,
     pub labels: RefCell<Rc<[Name]>>,
     rank: Rank,
     /// stays connected to this entry whether needed or not
@@ -35,8 +36,8 @@
     load: Cell<AgentLoad>,
     /// version of the configuration in force there
     version: Cell<u64>,
-    /// resources of the tasks sent since the load was reported
-    unreported: Cell<Resources>,
+    /// resources of the tasks of each class sent since the load was reported
+    unreported: Cell<[Resources; CLASSES]>,
     /// notified of each heartbeat and of a replaced link
     pub changed: Notify,
 }
@@ -53,6 +54,7 @@
             name: hello.name.clone(),
             incarnation: hello.incarnation,
             service: hello.service.clone(),
+            centre: hello.centre.clone(),
             labels: RefCell::new(hello.labels.as_slice().into()),
             rank,
             pinned: Cell::new(hello.pinned),
@@ -91,7 +93,7 @@
     /// Records the load reported by a reply or a heartbeat.
     pub fn set_load(&self, load: AgentLoad) {
         self.load.set(load);
-        self.unreported.set(Resources::default());
+        self.unreported.set(Default::default());
     }
 
     /// Status for operators.
@@ -100,6 +102,7 @@
         AgentReport {
             name: self.name.clone(),
             service: self.service.clone(),
+            centre: self.centre.clone(),
             incarnation: self.incarnation,
             version: self.version.get(),
             ready: load.ready,
@@ -127,13 +130,16 @@
         self.load.get()
     }
 
-    pub fn unreported(&self) -> Resources {
+    pub fn unreported(&self) -> [Resources; CLASSES] {
         self.unreported.get()
     }
 
     /// Counts tasks about to be sent.
-    pub fn count_sent(&self, resources: Resources, count: u32) {
-        self.unreported.set(self.unreported.get().plus(resources.times(count)));
+    pub fn count_sent(&self, class: Class, resources: Resources, count: u32) {
+        let mut unreported = self.unreported.get();
+        let of_class = &mut unreported[class.index()];
+        *of_class = of_class.plus(resources.times(count));
+        self.unreported.set(unreported);
     }
 
     /// Records that its open work got no heartbeat in time.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,11 +22,12 @@
 mod status;
 
 pub use agents::Agents;
+pub use backlog::{Backlog, Ticket};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
 pub use metrics::Metrics;
-pub use report::{AgentReport, JobReport, RackReport, Report};
+pub use report::{AgentReport, BacklogReport, DrainReport, JobReport, RackReport, Report};
 pub use rpc::EntryRpc;
 pub use runtime::EntryRuntime;
 pub use status::Status;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -12,6 +12,10 @@
     pub jobs: Vec<JobReport>,
     /// racks with the highest pressure, highest first
     pub racks: Vec<RackReport>,
+    /// drained data centres
+    pub drains: Vec<DrainReport>,
+    /// jobs that wait, by class
+    pub backlog: Vec<BacklogReport>,
 }
 
 /// Pressure of a rack at an entry.
@@ -22,11 +26,37 @@
     pub pressure: f64,
 }
 
+/// A drained data centre, and what still runs there by the newest reports of its
+/// agents to this entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DrainReport {
+    pub centre: Name,
+    /// version of the operators' row
+    pub version: u64,
+    /// when an entry first saw that row, Unix time
+    pub since_ms: u64,
+    /// agents of the data centre that this entry knows
+    pub agents: usize,
+    /// agents whose backend servers have runs
+    pub busy_agents: usize,
+    /// capacity that these runs use, millicores
+    pub used_cpu: u64,
+}
+
+/// Jobs of one class that wait for capacity.
+#[derive(Clone, Debug, Serialize)]
+pub struct BacklogReport {
+    pub class: usize,
+    pub jobs: usize,
+    pub longest_wait_ms: u64,
+}
+
 /// Status of an agent by its newest heartbeat or reply.
 #[derive(Clone, Debug, Serialize)]
 pub struct AgentReport {
     pub name: Name,
     pub service: Name,
+    pub centre: Name,
     pub incarnation: u64,
     /// version of the configuration in force there
     pub version: u64,
--- a/crates/dispatch/tests/racks.rs
+++ b/crates/dispatch/tests/racks.rs
@@ -7,7 +7,7 @@
 use capnp::Error;
 use conf::Queue;
 use dispatch::{Agents, DispatcherSettings, Job, JobDispatcher, Metrics};
-use lease::{AgentLoad, LeaseBounds, LeaseTimings, Resources, SessionId};
+use lease::{AgentLoad, Class, LeaseBounds, LeaseTimings, Resources, SessionId};
 use placement::{ObjectiveSettings, PlacerSettings};
 use tokio::time::{sleep, timeout};
 use wire::{
@@ -45,8 +45,8 @@
 
 impl Entry {
     fn start() -> Self {
-        let agents =
-            Agents::new(SocketAddr::from(([127, 0, 0, 1], 1)), 64, Duration::from_secs(60));
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let agents = Agents::new(address, 64, Duration::from_secs(60), Arc::default());
         let settings = DispatcherSettings {
             timings: LeaseTimings::new(&LeaseBounds::default()).expect("defaults are valid"),
             session: SessionId(1),
@@ -121,6 +121,8 @@
         label: Name::from(""),
         rack: rack.into(),
         max_per_agent: 0,
+        class: Class::default(),
+        classes: 1,
     }
 }
 
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use lease::{Class, Resources};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -8,6 +8,8 @@
 /// Wait in an agent's queue that is always allowed, also where its newest report
 /// showed free capacity.
 const MIN_WAIT: Duration = Duration::from_millis(10);
+/// A job waits only if this multiple of its estimate is left after the expected wait.
+const RUN_TIME_MARGIN: f64 = 2.0;
 
 /// Settings of the choice between agents.
 #[derive(Clone, Debug)]
@@ -23,6 +25,10 @@
     /// share of the longest wait that a placement may count on, 0 to 1; the rest
     /// covers estimates that are off and loads that have changed since a report
     pub planned_wait: f64,
+    /// factor on `planned_wait` for each class that is more urgent, 0 to 1: its tasks
+    /// may overtake; more than 0.25 let agents return so many tasks that less was
+    /// done in time than without classes
+    pub overtaken_wait: f64,
     /// share of an agent's capacity that must be free for late jobs to use any, 0
     /// to 1
     pub reserve: f64,
@@ -42,6 +48,7 @@
             collision_cost: 0.5,
             jitter: 0.05,
             planned_wait: 0.5,
+            overtaken_wait: 0.25,
             reserve: 0.5,
             rack_cost: 1.0,
             max_rack_cost: 2.0,
@@ -50,6 +57,13 @@
     }
 }
 
+impl PlacerSettings {
+    /// Share of the longest wait that a placement of a class may count on.
+    fn planned_wait(&self, class: Class) -> f64 {
+        self.planned_wait * self.overtaken_wait.powi(class.index() as i32)
+    }
+}
+
 /// Tasks of a job to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand {
@@ -103,6 +117,15 @@
     Behind,
 }
 
+/// What goes before a job at its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ahead {
+    /// number of classes of its service
+    pub classes: usize,
+    /// longest wait so far of the jobs that go before it
+    pub wait: Duration,
+}
+
 /// Refusal of a job, with the delay after which the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -133,6 +156,13 @@
     assigned: usize,
 }
 
+impl Ahead {
+    /// Whether a job may end within `time_left` after the jobs that go before it.
+    pub fn leaves_time(&self, estimate: Duration, time_left: Duration) -> bool {
+        self.wait + estimate.mul_f64(RUN_TIME_MARGIN) < time_left
+    }
+}
+
 impl Placer {
     pub fn new(settings: PlacerSettings, seed: u64) -> Self {
         Self { settings, rng: SmallRng::seed_from_u64(seed) }
@@ -167,22 +197,51 @@
     /// is expected to end first, or else one where it waits and ends in time.
     pub fn plan(&mut self, agents: &[AgentView], demand: &Demand, goal: Goal) -> Plan {
         let mut candidates = self.candidates(agents, demand);
-        let any_far = candidates.iter().any(|c| c.is_far);
+        let settings = &self.settings;
+        let is_eligible = |c: &Candidate| c.is_eligible(settings, demand, goal);
+        // free capacity is preferred: it is known, while waits are estimates
+        let key = |position: usize, c: &Candidate| {
+            Reverse((!c.has_capacity(demand), c.cost(settings, demand), position))
+        };
+        let all = || candidates.iter().enumerate().filter(|(_, c)| is_eligible(c));
+        let by_end = |(i, c): (usize, &Candidate)| Reverse((c.end(demand), i));
+        // a task goes far from its data only where it ends before any end near it;
+        // other far candidates are in `detours`. An assignment changes only its own
+        // candidate, and never to an earlier end. So the earliest end near the data
+        // only rises, and a candidate that has left `detours` returns to it only
+        // after an assignment to it.
+        let mut eligible: BinaryHeap<_> =
+            all().filter(|(_, c)| !c.is_far).map(|(i, c)| key(i, c)).collect();
+        let mut detours: BinaryHeap<_> = all().filter(|(_, c)| c.is_far).map(by_end).collect();
+        let mut near_ends = BinaryHeap::new();
+        if !detours.is_empty() {
+            near_ends.extend(all().filter(|(_, c)| !c.is_far).map(by_end));
+        }
         let mut unplaced = demand.count;
         while unplaced > 0 {
-            let is_eligible = |c: &Candidate| c.is_eligible(&self.settings, demand, goal);
-            // a task goes far from its data only where it ends before any end near it
-            let near = candidates.iter().filter(|c| !c.is_far && is_eligible(c));
-            let near_end = any_far.then(|| near.map(|c| c.end(demand)).min()).flatten();
-            let eligible = candidates.iter_mut().filter(|c| is_eligible(c));
-            // free capacity is preferred: it is known, while waits are estimates
-            let best = eligible.min_by_key(|c| {
-                let is_detour = c.is_far && near_end.is_some_and(|near| c.end(demand) >= near);
-                (is_detour, !c.has_capacity(demand), c.cost(&self.settings, demand))
-            });
-            let Some(best) = best else { break };
+            while let Some(Reverse((end, position))) = detours.peek().copied() {
+                let near_end = earliest_end(&mut near_ends, |i| {
+                    let near = &candidates[i];
+                    is_eligible(near).then(|| near.end(demand))
+                });
+                if near_end.is_some_and(|near| end >= near) {
+                    break;
+                }
+                detours.pop();
+                eligible.push(key(position, &candidates[position]));
+            }
+            let Some(Reverse((_, _, position))) = eligible.pop() else { break };
+            let best = &mut candidates[position];
             best.assign(demand);
             unplaced -= 1;
+            if !is_eligible(best) {
+                continue;
+            }
+            if best.is_far {
+                detours.push(Reverse((best.end(demand), position)));
+            } else {
+                eligible.push(key(position, best));
+            }
         }
         let used = candidates.into_iter().filter(|c| c.assigned > 0);
         let assignments = used.map(|c| Assignment {
@@ -193,14 +252,42 @@
         Plan { assignments: assignments.collect(), unplaced }
     }
 
-    /// When a caller should send a refused job again: once the shortest queue is
-    /// worked off, plus a random delay of up to the same length, so that callers
-    /// don't return together.
-    pub fn refuse(&mut self, agents: &[AgentView], demand: &Demand) -> Refusal {
+    /// Whether a job that can't be placed now is likely to get capacity while an
+    /// answer is of use, for another `time_left`.
+    pub fn may_wait(
+        &self,
+        agents: &[AgentView],
+        demand: &Demand,
+        ahead: Ahead,
+        time_left: Duration,
+    ) -> bool {
+        if ahead.classes <= 1 {
+            let any_ready = agents.iter().any(|a| a.load.ready);
+            return any_ready && ahead.leaves_time(demand.estimate, time_left);
+        }
+        let margin = demand.estimate.mul_f64(RUN_TIME_MARGIN);
+        let fits = |a: &&AgentView| a.load.ready && demand.resources.fits(a.load.capacity);
+        agents.iter().filter(fits).any(|a| {
+            let (wait, run_time) = (a.load.wait(demand.class), a.run_time(demand.estimate));
+            // capacity for a part of its tasks shows that there is some for jobs like it
+            let is_free = wait.is_zero() && demand.resources.fits(a.free());
+            let time = if is_free { run_time } else { wait.max(ahead.wait) + run_time.max(margin) };
+            time < time_left
+        })
+    }
+
+    /// When a caller should send a refused job again: after the expected wait, plus a
+    /// random delay of up to the same length, so that callers don't return together.
+    /// Each class has its part of the random delay, the most urgent one the first.
+    pub fn refuse(&mut self, agents: &[AgentView], demand: &Demand, ahead: Ahead) -> Refusal {
         let usable = agents.iter().filter(|a| a.load.ready && !a.excluded);
-        let wait = usable.map(|a| a.load.expected_wait).min().unwrap_or_default();
-        let after = (wait + demand.estimate).max(self.settings.min_retry_delay);
-        Refusal { retry_after: after + after.mul_f64(self.rng.random()) }
+        let class = demand.class;
+        let wait = usable.map(|a| a.load.wait(class)).min().unwrap_or_default();
+        let wait = if ahead.classes > 1 { wait.max(ahead.wait) } else { wait + demand.estimate };
+        let after = wait.max(self.settings.min_retry_delay);
+        let part = class.index() as f64 + self.rng.random::<f64>();
+        let spread = part / ahead.classes.max(class.index() + 1) as f64;
+        Refusal { retry_after: after + after.mul_f64(spread) }
     }
 
     fn candidates(&mut self, agents: &[AgentView], demand: &Demand) -> Vec<Candidate> {
@@ -211,17 +298,18 @@
                 let run_time = agent.run_time(demand.estimate);
                 let capacity = f64::from(agent.load.capacity.cpu.max(1));
                 let wait_per_task = run_time.mul_f64(f64::from(demand.resources.cpu) / capacity);
-                let unreported_tasks =
-                    f64::from(agent.unreported.cpu) / f64::from(demand.resources.cpu.max(1));
-                let is_full = !demand.resources.fits(agent.load.free.minus(agent.unreported));
+                let unreported_tasks = f64::from(agent.unreported_cpu(demand.class))
+                    / f64::from(demand.resources.cpu.max(1));
+                let free = agent.free();
+                let is_full = !demand.resources.fits(free);
                 let pressure = (agent.rack_pressure - 1.0).max(0.0) * self.settings.rack_cost;
                 let added =
                     if is_full { wait_per_task.mul_f64(unreported_tasks) } else { Duration::ZERO };
                 Candidate {
                     index,
-                    free: agent.load.free.minus(agent.unreported),
+                    free,
                     reserve: (capacity * self.settings.reserve) as u32,
-                    wait: agent.load.expected_wait + added,
+                    wait: agent.load.wait(demand.class) + added,
                     wait_per_task,
                     run_time,
                     jitter: run_time.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
@@ -248,7 +336,8 @@
         match goal {
             Goal::InTime => {
                 let max_wait = demand.objective.max_wait(demand.age, self.run_time);
-                let planned = max_wait.map(|wait| wait.mul_f64(settings.planned_wait));
+                let planned =
+                    max_wait.map(|wait| wait.mul_f64(settings.planned_wait(demand.class)));
                 planned.is_some_and(|planned| self.expected_wait(demand) <= planned)
             }
             Goal::Immediate => self.has_capacity(demand),
@@ -302,3 +391,20 @@
         self.assigned += 1;
     }
 }
+
+/// Earliest end in `ends`, whose entries may be too early or no longer count: `end`
+/// gives the present end of each, or `None`.
+fn earliest_end(
+    ends: &mut BinaryHeap<Reverse<(Duration, usize)>>,
+    end: impl Fn(usize) -> Option<Duration>,
+) -> Option<Duration> {
+    while let Some(Reverse((recorded, position))) = ends.peek().copied() {
+        let present = end(position);
+        if present == Some(recorded) {
+            return present;
+        }
+        ends.pop();
+        ends.extend(present.map(|present| Reverse((present, position))));
+    }
+    None
+}
--- a/crates/placement/tests/shortage.rs
+++ b/crates/placement/tests/shortage.rs
@@ -16,12 +16,11 @@
     SchedulerSettings, SessionId, StartOutcome, TaskRef,
 };
 use placement::{
-    AgentView, Assignment, Demand, Objective, ObjectiveSettings, Placer, PlacerSettings, Plan,
-    RackDemand, Turn,
+    AgentView, Ahead, Assignment, BacklogOrder, Demand, Objective, ObjectiveSettings, Placer,
+    PlacerSettings, Plan, Position, RackDemand, Shape, Stage, Turn, Waiter,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-const ENTRIES: usize = 3;
 /// Speed and cores of the backend servers.
 const BACKENDS: [(f64, u32); 9] = [
     (1.2, 32),
@@ -67,6 +66,27 @@
     Freest,
 }
 
+/// Class of each kind, by its run time.
+const CLASS_RANKS: [usize; 3] = [0, 2, 1];
+
+/// Priorities of the queues of the kinds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Priorities {
+    Equal,
+    ByKind,
+}
+
+/// Fleet and configuration of a simulation.
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    /// times each backend server, with as many times the work
+    copies: usize,
+    entries: usize,
+    priorities: Priorities,
+}
+
+const SMALL: Setup = Setup { copies: 1, entries: 3, priorities: Priorities::Equal };
+
 struct Job {
     /// rack of its data; empty for none
     rack: Name,
@@ -87,9 +107,8 @@
     placed: BTreeSet<u64>,
     started: bool,
     avoided: BTreeSet<usize>,
-    /// priority and number in the backlog of its entry
-    ticket: Option<(u8, u64)>,
-    joined_at: Uptime,
+    /// stage and position in the backlog of its entry
+    ticket: Option<(Stage, Position)>,
     has_ended: bool,
     completed_at: Option<Uptime>,
 }
@@ -120,7 +139,12 @@
     placers: Vec<Placer>,
     views: Vec<Vec<AgentView>>,
     jobs: Vec<Job>,
-    backlog: Vec<BTreeMap<(u8, u64), usize>>,
+    setup: Setup,
+    backlog: Vec<BacklogOrder>,
+    /// entry and number of the job at each position
+    waiting: BTreeMap<(usize, Position), usize>,
+    /// jobs that may try
+    turns: VecDeque<(usize, Position)>,
     messages: VecDeque<(Uptime, Message)>,
     last_number: u64,
     /// starts after the caller's timeout
@@ -132,6 +156,8 @@
     /// starts near and far from the data
     near_starts: u32,
     far_starts: u32,
+    /// core-seconds of refused jobs that some agent had free capacity for
+    refused_beside_free: f64,
 }
 
 /// Outcomes of the jobs of one kind; work in core-seconds.
@@ -155,13 +181,15 @@
 }
 
 impl Simulation {
-    fn new(seed: u64) -> Self {
-        Self::with(seed, &BACKENDS, Choice::Placer)
+    fn new(seed: u64, setup: Setup) -> Self {
+        let backends = BACKENDS.into_iter().cycle().take(setup.copies * BACKENDS.len());
+        Self::with(seed, setup, &backends.collect::<Vec<_>>(), Choice::Placer)
     }
 
-    fn with(seed: u64, backends: &[(f64, u32)], choice: Choice) -> Self {
+    fn with(seed: u64, setup: Setup, backends: &[(f64, u32)], choice: Choice) -> Self {
         let timings = LeaseTimings::new(&LeaseBounds::default()).expect("defaults are valid");
         let now = Duration::from_secs(100);
+        let entries = setup.entries;
         let agents = backends.iter().enumerate().map(|(i, (speed, cores))| {
             let health = HealthSettings::default();
             let mut scheduler =
@@ -182,28 +210,27 @@
                 open: Vec::new(),
             }
         });
+        let view = AgentView { distance_factor: 1.0, ..AgentView::default() };
         Self {
             rng: StdRng::seed_from_u64(seed),
             now,
             agents: agents.collect(),
-            placers: (0..ENTRIES)
+            placers: (0..entries)
                 .map(|i| Placer::new(PlacerSettings::default(), seed + i as u64))
                 .collect(),
-            views: vec![
-                vec![
-                    AgentView { distance_factor: 1.0, ..AgentView::default() };
-                    backends.len()
-                ];
-                ENTRIES
-            ],
+            views: vec![vec![view; backends.len()]; entries],
             jobs: Vec::new(),
-            backlog: vec![BTreeMap::new(); ENTRIES],
+            setup,
+            backlog: (0..entries).map(|_| BacklogOrder::default()).collect(),
+            waiting: BTreeMap::new(),
+            turns: VecDeque::new(),
             messages: VecDeque::new(),
             last_number: 0,
             late_starts: 0,
+            refused_beside_free: 0.0,
             choice,
             hot_share: None,
-            racks: (0..ENTRIES).map(|_| RackDemand::default()).collect(),
+            racks: (0..entries).map(|_| RackDemand::default()).collect(),
             near_starts: 0,
             far_starts: 0,
         }
@@ -214,7 +241,7 @@
             self.now += Duration::from_millis(1);
             for i in 0..self.agents.len() {
                 if step % REPORT_INTERVAL_MS == i as u64 * 29 % REPORT_INTERVAL_MS {
-                    for entry in 0..ENTRIES {
+                    for entry in 0..self.setup.entries {
                         let now = self.now;
                         let scheduler = &mut self.agents[i].scheduler;
                         scheduler.extend_session(session(entry), &"entry".into(), now, now);
@@ -242,7 +269,8 @@
     }
 
     fn submit(&mut self, load: f64) {
-        for (kind, (work_ms, width, rate)) in KINDS.into_iter().enumerate() {
+        let kinds = KINDS.into_iter().enumerate().cycle();
+        for (kind, (work_ms, width, rate)) in kinds.take(self.setup.copies * KINDS.len()) {
             if !self.rng.random_bool((rate * load / 1000.0).min(1.0)) {
                 continue;
             }
@@ -261,7 +289,7 @@
             let job = Job {
                 rack,
                 kind,
-                entry: self.rng.random_range(0..ENTRIES),
+                entry: self.rng.random_range(0..self.setup.entries),
                 arrived_at: self.now,
                 estimate,
                 objective: Objective::new(&ObjectiveSettings::default(), estimate, STRETCH, TARGET),
@@ -275,13 +303,13 @@
                 started: false,
                 avoided: BTreeSet::new(),
                 ticket: None,
-                joined_at: Duration::ZERO,
                 has_ended: false,
                 completed_at: None,
             };
             self.record_demand(&job);
             self.jobs.push(job);
             self.turn(self.jobs.len() - 1);
+            self.run_turns();
         }
     }
 
@@ -307,30 +335,36 @@
             return self.leave_backlog(number);
         }
         if job.is_untouched() && job.ticket.is_none() {
-            let since = self.backlog[entry].values().map(|n| self.jobs[*n].joined_at).min();
-            let longest = since.map(|s| now - s).unwrap_or_default();
-            if longest + job.estimate.mul_f64(2.0) >= useful {
+            let demand = self.demand(number);
+            let (shape, classes) = (self.shape(number), self.classes());
+            let wait = self.backlog[entry].wait_ahead(&shape, classes, now);
+            let ahead = Ahead { classes, wait };
+            if !self.placers[entry].may_wait(&self.views[entry], &demand, ahead, useful) {
                 return self.end(number);
             }
         }
         if job.placed.is_empty() && time_left < job.estimate {
             return self.end(number);
         }
-        let class = if !job.is_untouched() {
-            0
+        let stage = if !job.is_untouched() {
+            Stage::Started
         } else if self.may_end_in_time(number) {
-            1
+            Stage::Timely
         } else {
-            2
+            Stage::Late
         };
-        if job.ticket.is_none_or(|(t, _)| t != class) {
-            self.last_number += 1;
-            let ticket = (class, self.last_number);
-            if let Some(old) = self.jobs[number].ticket.replace(ticket) {
-                self.backlog[entry].remove(&old);
-            }
-            self.jobs[number].joined_at = now;
-            self.backlog[entry].insert(ticket, number);
+        if job.ticket.is_none_or(|(t, _)| t != stage) {
+            let waiter = Waiter {
+                stage,
+                shape: self.shape(number),
+                classes: self.classes(),
+                arrived_at: job.arrived_at,
+                since: now,
+            };
+            let position = self.backlog[entry].join(waiter);
+            self.waiting.insert((entry, position), number);
+            self.leave_backlog(number);
+            self.jobs[number].ticket = Some((stage, position));
         }
     }
 
@@ -361,14 +395,15 @@
             self.last_number += 1;
             job.placed.insert(self.last_number);
             let view = &mut self.views[entry][assignment.agent];
-            view.unreported = view.unreported.plus(resources.times(tasks.len() as u32));
+            let unreported = &mut view.unreported[demand.class.index()];
+            *unreported = unreported.plus(resources.times(tasks.len() as u32));
             let batch = Batch {
                 number: self.last_number,
                 job: number.to_string().as_str().into(),
                 spec: "".into(),
                 resources,
                 estimate: job.estimate.mul_f64(views[assignment.agent].distance_factor),
-                class: Class::default(),
+                class: demand.class,
                 max_wait: assignment.max_wait,
                 time_left,
                 tasks,
@@ -442,7 +477,7 @@
         let job = &self.jobs[number];
         Demand {
             resources: Resources { cpu: job.cpu, memory: 64, gpu: 0 },
-            class: Class::default(),
+            class: self.class(job.kind),
             count: job.unplaced.len(),
             estimate: job.estimate,
             objective: job.objective,
@@ -450,8 +485,29 @@
         }
     }
 
+    fn classes(&self) -> usize {
+        if self.setup.priorities == Priorities::Equal { 1 } else { KINDS.len() }
+    }
+
+    fn class(&self, kind: usize) -> Class {
+        let is_equal = self.setup.priorities == Priorities::Equal;
+        Class::from_rank(if is_equal { 0 } else { CLASS_RANKS[kind] })
+    }
+
+    fn shape(&self, number: usize) -> Shape {
+        let demand = self.demand(number);
+        Shape {
+            service: "".into(),
+            class: demand.class,
+            label: "".into(),
+            rack: self.jobs[number].rack.clone(),
+            resources: demand.resources,
+        }
+    }
+
     fn end(&mut self, number: usize) {
         self.leave_backlog(number);
+        self.count_refusal(number);
         let job = &mut self.jobs[number];
         job.has_ended = true;
         for batch in std::mem::take(&mut job.placed) {
@@ -462,15 +518,42 @@
     fn leave_backlog(&mut self, number: usize) {
         let job = &mut self.jobs[number];
         let entry = job.entry;
-        if let Some(ticket) = job.ticket.take() {
-            self.backlog[entry].remove(&ticket);
-            self.wake_first(entry);
+        if let Some((_, position)) = job.ticket.take() {
+            self.waiting.remove(&(entry, position));
+            let next = self.backlog[entry].leave(position);
+            self.turns.extend(next.map(|p| (entry, p)));
+        }
+    }
+
+    fn wake(&mut self, entry: usize) {
+        let next = self.backlog[entry].wake();
+        self.turns.extend(next.map(|p| (entry, p)));
+        self.run_turns();
+    }
+
+    fn run_turns(&mut self) {
+        while let Some((entry, position)) = self.turns.pop_front() {
+            let Some(number) = self.waiting.get(&(entry, position)).copied() else { continue };
+            self.turn(number);
+            if self.jobs[number].ticket.is_some_and(|(_, p)| p == position) {
+                let next = self.backlog[entry].pass(position);
+                self.turns.extend(next.map(|p| (entry, p)));
+            }
         }
     }
 
-    fn wake_first(&mut self, entry: usize) {
-        if let Some((_, number)) = self.backlog[entry].first_key_value() {
-            self.turn(*number);
+    fn count_refusal(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        if !job.is_untouched() || job.completed_at.is_some() {
+            return;
+        }
+        let (demand, now) = (self.demand(number), self.now);
+        let is_free = self.agents.iter().any(|a| {
+            let load = a.scheduler.load(now);
+            load.wait(demand.class).is_zero() && demand.resources.fits(load.free)
+        });
+        if is_free {
+            self.refused_beside_free += job.size();
         }
     }
 
@@ -485,7 +568,10 @@
                     && (age >= job.timeout || job.is_untouched() && age + job.estimate > cutoff)
             })
             .collect();
-        due.into_iter().for_each(|n| self.turn(n));
+        for number in due {
+            self.turn(number);
+            self.run_turns();
+        }
     }
 
     fn send(&mut self, message: Message) {
@@ -525,8 +611,8 @@
     fn set_load(&mut self, i: usize, entry: usize, load: AgentLoad) {
         let view = &mut self.views[entry][i];
         view.load = load;
-        view.unreported = Resources::default();
-        self.wake_first(entry);
+        view.unreported = Default::default();
+        self.wake(entry);
     }
 
     fn on_update(&mut self, i: usize, number: usize, batch: u64, progress: Progress) {
@@ -550,6 +636,7 @@
         }
         self.set_load(i, entry, progress.load);
         self.turn(number);
+        self.run_turns();
     }
 
     fn step_agent(&mut self, i: usize) {
@@ -677,7 +764,10 @@
 
 /// Places tasks where the most capacity is free.
 fn freest(views: &[AgentView], demand: &Demand) -> Plan {
-    let mut free: Vec<_> = views.iter().map(|v| v.load.free.minus(v.unreported)).collect();
+    let mut free: Vec<_> = views
+        .iter()
+        .map(|v| v.unreported.into_iter().fold(v.load.free, Resources::minus))
+        .collect();
     let mut plan = Plan { unplaced: demand.count, ..Plan::default() };
     while plan.unplaced > 0 {
         let usable = (0..views.len()).filter(|i| views[*i].load.ready && !views[*i].excluded);
@@ -705,9 +795,22 @@
 
 /// Outcomes over some seeds, `load` times as much work as can be done.
 fn outcomes(load: f64) -> [Outcomes; 3] {
+    outcomes_with(load, SEEDS, SMALL).0
+}
+
+/// The same with these priorities, and the work that was refused although some agent
+/// had free capacity.
+fn outcomes_with(
+    load: f64,
+    seeds: std::ops::RangeInclusive<u64>,
+    setup: Setup,
+) -> ([Outcomes; 3], f64) {
     let mut sum = [Outcomes::default(); 3];
-    for seed in SEEDS {
-        for (sum, it) in sum.iter_mut().zip(Simulation::new(seed).run(load).outcomes()) {
+    let mut refused_beside_free = 0.0;
+    for seed in seeds {
+        let simulation = Simulation::new(seed, setup).run(load);
+        refused_beside_free += simulation.refused_beside_free;
+        for (sum, it) in sum.iter_mut().zip(simulation.outcomes()) {
             sum.submitted += it.submitted;
             sum.timely += it.timely;
             sum.late += it.late;
@@ -715,7 +818,7 @@
             sum.useless_work += it.useless_work;
         }
     }
-    sum
+    (sum, refused_beside_free)
 }
 
 fn timely_work(outcomes: &[Outcomes; 3]) -> f64 {
@@ -755,7 +858,7 @@
 #[test]
 fn in_an_overload_large_jobs_do_not_starve() {
     for seed in SEEDS {
-        let simulation = Simulation::new(seed).run(1.1);
+        let simulation = Simulation::new(seed, SMALL).run(1.1);
         for (kind, all) in simulation.outcomes().into_iter().enumerate() {
             let (largest, all) = (simulation.largest(kind).answered_share(), all.answered_share());
             assert!(largest > all / 2.0, "kind {kind}: {largest} of the largest, {all} of all");
@@ -765,7 +868,31 @@
 
 #[test]
 fn no_task_starts_after_its_caller_timed_out() {
-    assert_eq!(Simulation::new(1).run(1.5).late_starts, 0);
+    for priorities in [Priorities::Equal, Priorities::ByKind] {
+        assert_eq!(Simulation::new(1, Setup { priorities, ..SMALL }).run(1.5).late_starts, 0);
+    }
+}
+
+/// In a shortage with equal priorities the short kind gets the worst service, and
+/// requests are refused while backend servers have free capacity. Entries that don't
+/// know of each other's tasks send too many to an agent, which returns them.
+#[test]
+fn classes_are_served_in_their_order_and_none_starves() {
+    let equal = Setup { copies: 4, entries: 4, priorities: Priorities::Equal };
+    let (before, refused_before) = outcomes_with(1.5, 1..=1, equal);
+    let by_kind = Setup { priorities: Priorities::ByKind, ..equal };
+    let (after, refused_after) = outcomes_with(1.5, 1..=1, by_kind);
+    println!("equal: {before:?}, refused beside free capacity {refused_before:.0} core-seconds");
+    println!("by kind: {after:?}, refused beside free capacity {refused_after:.0} core-seconds");
+    let mut shares = [0.0; 3];
+    for (kind, it) in after.iter().enumerate() {
+        shares[CLASS_RANKS[kind]] = it.timely_share();
+        assert!(it.answered_share() > 0.3, "kind {kind} starves: {it:?}");
+    }
+    assert!(shares.is_sorted_by(|a, b| a > b), "by class {shares:?}");
+    assert!(shares[0] > before[0].timely_share() + 0.3, "{shares:?}, {before:?} without classes");
+    assert!(timely_work(&after) > 0.97 * timely_work(&before), "classes cost work in time");
+    assert!(refused_after < refused_before, "{refused_after}, {refused_before} without classes");
 }
 
 /// Two backend servers on each of eight racks: a quarter is slow, the others have
@@ -789,7 +916,7 @@
     let mut sum = ([Outcomes::default(); 3], 0, 0);
     for seed in 1..=8 {
         let simulation =
-            Simulation { hot_share, ..Simulation::with(seed, &racks_of_two(usual), choice) };
+            Simulation { hot_share, ..Simulation::with(seed, SMALL, &racks_of_two(usual), choice) };
         let simulation = simulation.run(load);
         sum.1 += simulation.near_starts;
         sum.2 += simulation.far_starts;
