--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -15,12 +15,22 @@
     jobs: Vec<Job>,
     /// absent in reports of earlier versions
     #[serde(default)]
+    racks: Vec<Rack>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
     drains: Vec<Drain>,
     /// absent in reports of earlier versions
     #[serde(default)]
     backlog: Vec<ClassBacklog>,
 }
 
+/// A rack and its pressure at the entry.
+#[derive(Serialize, Deserialize)]
+struct Rack {
+    name: String,
+    pressure: f64,
+}
+
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 struct Drains(Vec<Drain>);
@@ -69,6 +79,10 @@
     unheard_ms: u64,
 }
 
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct Racks(Vec<Rack>);
+
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 struct Jobs(Vec<Job>);
@@ -121,6 +135,14 @@
     }
 }
 
+impl Rows for Racks {
+    const TITLES: &'static [&'static str] = &["RACK", "PRESSURE"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        self.0.iter().map(|r| vec![r.name.clone(), format!("{:.2}", r.pressure)]).collect()
+    }
+}
+
 impl Rows for Backlog {
     const TITLES: &'static [&'static str] = &["CLASS", "WAITING", "LONGEST_MS"];
 
@@ -194,6 +216,12 @@
     format.print(&Jobs(jobs))
 }
 
+/// Lists the racks with the highest pressure at an entry.
+pub async fn racks(entry: &Entry, format: Format) -> Result<()> {
+    let racks = fetch_report(entry).await?.racks;
+    format.print(&Racks(racks))
+}
+
 /// Lists the drained data centres known to an entry, and what still runs there.
 pub async fn drained(entry: &Entry, format: Format) -> Result<()> {
     format.print(&Drains(fetch_report(entry).await?.drains))
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -298,12 +298,14 @@
         *self.sent.entry(agent.name.clone()).or_default() += tasks.len();
         let number = self.dispatcher.next_batch();
         self.placed.push((agent.clone(), number));
+        // agents measure their speed and expected waits by it
+        let estimate = self.job.estimate.mul_f64(self.distance_factor(&agent));
         let batch = Batch {
             number,
             job: self.job.id.clone(),
             spec: self.job.spec.clone(),
             resources: self.job.resources,
-            estimate: self.job.estimate,
+            estimate,
             class: self.job.class,
             max_wait,
             time_left,
@@ -425,6 +427,7 @@
             unreported: a.unreported(),
             excluded: self.avoided.contains(&a.name),
             distance_factor: self.distance_factor(a),
+            rack_pressure: self.rack_pressure(a),
             max_tasks: self.max_tasks(a),
         });
         views.collect()
@@ -435,6 +438,17 @@
         if is_near { 1.0 } else { self.dispatcher.far_factor() }
     }
 
+    /// Pressure of an agent's rack; 0 if this job needs that rack.
+    fn rack_pressure(&self, agent: &Agent) -> f64 {
+        let racks = self.dispatcher.racks();
+        if !racks.any_hot() {
+            return 0.0;
+        }
+        let labels = agent.labels.borrow();
+        let is_needed = !self.job.rack.is_empty() && labels.contains(&self.job.rack);
+        if is_needed { 0.0 } else { racks.pressure_at(&labels) }
+    }
+
     /// How many more tasks of this job an agent may get; `None` if unlimited.
     fn max_tasks(&self, agent: &Agent) -> Option<usize> {
         let limit = (self.job.max_per_agent > 0).then_some(self.job.max_per_agent as usize)?;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
 pub use metrics::Metrics;
-pub use report::{AgentReport, BacklogReport, DrainReport, JobReport, Report};
+pub use report::{AgentReport, BacklogReport, DrainReport, JobReport, RackReport, Report};
 pub use rpc::EntryRpc;
 pub use runtime::EntryRuntime;
 pub use status::Status;
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Prometheus metrics of an entry's jobs.
 
-use std::{sync::atomic::AtomicU64, time::Duration};
+use std::{
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
+    time::Duration,
+};
 
 use base::Name;
 use daemon::{LinkMetrics, metrics_page};
@@ -42,6 +45,11 @@
     ending: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByRack {
+    rack: String,
+}
+
 /// Counters and histograms of one entry.
 pub struct Metrics {
     registry: Registry,
@@ -54,6 +62,9 @@
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
     pub drained_centres: Gauge<u64, AtomicU64>,
+    rack_pressures: Family<ByRack, Gauge<f64, AtomicU64>>,
+    /// racks in `rack_pressures`
+    shown_racks: Mutex<Vec<ByRack>>,
     links: LinkMetrics,
 }
 
@@ -90,7 +101,14 @@
             "Data centres that operators have drained",
             drained_centres.clone(),
         );
+        let rack_pressures = Family::default();
+        registry.register(
+            "rack_pressure",
+            "Share of the demand divided by share of the capacity, of the racks with the highest",
+            rack_pressures.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
+        let shown_racks = Mutex::default();
         Self {
             registry,
             jobs,
@@ -101,6 +119,8 @@
             backlog_seconds,
             config_version,
             drained_centres,
+            rack_pressures,
+            shown_racks,
             links,
         }
     }
@@ -117,6 +137,20 @@
         self.endings.get_or_create(&ByEnding { ending }).inc();
     }
 
+    /// Shows these racks and no others.
+    pub fn set_rack_pressures(&self, racks: &[(Name, f64)]) {
+        let mut shown = self.shown_racks.lock().unwrap_or_else(PoisonError::into_inner);
+        let racks: Vec<_> =
+            racks.iter().map(|(r, p)| (ByRack { rack: r.to_string() }, p)).collect();
+        for gone in shown.iter().filter(|s| racks.iter().all(|(r, _)| r != *s)) {
+            self.rack_pressures.remove(gone);
+        }
+        for (rack, pressure) in &racks {
+            self.rack_pressures.get_or_create(rack).set(**pressure);
+        }
+        *shown = racks.into_iter().map(|(r, _)| r).collect();
+    }
+
     pub fn record_refusal(&self, class: Class) {
         self.refused.get_or_create(&ByClass { class: class.index() }).inc();
     }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -10,12 +10,22 @@
     pub ready: bool,
     pub agents: Vec<AgentReport>,
     pub jobs: Vec<JobReport>,
+    /// racks with the highest pressure, highest first
+    pub racks: Vec<RackReport>,
     /// drained data centres
     pub drains: Vec<DrainReport>,
     /// jobs that wait, by class
     pub backlog: Vec<BacklogReport>,
 }
 
+/// Pressure of a rack at an entry.
+#[derive(Clone, Debug, Serialize)]
+pub struct RackReport {
+    pub name: Name,
+    /// share of the demand divided by share of the capacity
+    pub pressure: f64,
+}
+
 /// A drained data centre, and what still runs there by the newest reports of its
 /// agents to this entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -92,6 +92,7 @@
             ready: self.status.is_ready(),
             agents: self.agents.report(),
             jobs: self.dispatcher.report(),
+            racks: self.dispatcher.rack_report(),
             drains: self.agents.report_drains(),
             backlog: self.agents.backlog_report(),
         }
@@ -105,6 +106,7 @@
             metrics.config_version.set(self.fleet.version());
             metrics.drained_centres.set(self.drains.len() as u64);
             metrics.set_backlog(&self.agents.backlog.by_class());
+            self.dispatcher.refresh_racks();
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -32,6 +32,11 @@
     /// share of an agent's capacity that must be free for late jobs to use any, 0
     /// to 1
     pub reserve: f64,
+    /// cost of an agent on a rack that the job doesn't need, as a share of the
+    /// estimate for each unit of the rack's pressure above 1
+    pub rack_cost: f64,
+    /// highest cost of this kind, as a share of the estimate
+    pub max_rack_cost: f64,
     /// shortest delay until a refused caller retries
     pub min_retry_delay: Duration,
 }
@@ -45,6 +50,8 @@
             planned_wait: 0.5,
             overtaken_wait: 0.25,
             reserve: 0.5,
+            rack_cost: 1.0,
+            max_rack_cost: 2.0,
             min_retry_delay: Duration::from_millis(1000),
         }
     }
@@ -142,6 +149,9 @@
     wait_per_task: Duration,
     run_time: Duration,
     jitter: Duration,
+    /// cost of the pressure of its rack
+    rack_cost: Duration,
+    is_far: bool,
     max_tasks: usize,
     assigned: usize,
 }
@@ -188,21 +198,50 @@
     pub fn plan(&mut self, agents: &[AgentView], demand: &Demand, goal: Goal) -> Plan {
         let mut candidates = self.candidates(agents, demand);
         let settings = &self.settings;
+        let is_eligible = |c: &Candidate| c.is_eligible(settings, demand, goal);
         // free capacity is preferred: it is known, while waits are estimates
         let key = |position: usize, c: &Candidate| {
-            c.is_eligible(settings, demand, goal)
-                .then(|| Reverse((!c.has_capacity(demand), c.cost(settings, demand), position)))
+            Reverse((!c.has_capacity(demand), c.cost(settings, demand), position))
         };
-        // an assignment changes the cost of its candidate only
+        let all = || candidates.iter().enumerate().filter(|(_, c)| is_eligible(c));
+        let by_end = |(i, c): (usize, &Candidate)| Reverse((c.end(demand), i));
+        // a task goes far from its data only where it ends before any end near it;
+        // other far candidates are in `detours`. An assignment changes only its own
+        // candidate, and never to an earlier end. So the earliest end near the data
+        // only rises, and a candidate that has left `detours` returns to it only
+        // after an assignment to it.
         let mut eligible: BinaryHeap<_> =
-            candidates.iter().enumerate().filter_map(|(i, c)| key(i, c)).collect();
+            all().filter(|(_, c)| !c.is_far).map(|(i, c)| key(i, c)).collect();
+        let mut detours: BinaryHeap<_> = all().filter(|(_, c)| c.is_far).map(by_end).collect();
+        let mut near_ends = BinaryHeap::new();
+        if !detours.is_empty() {
+            near_ends.extend(all().filter(|(_, c)| !c.is_far).map(by_end));
+        }
         let mut unplaced = demand.count;
         while unplaced > 0 {
+            while let Some(Reverse((end, position))) = detours.peek().copied() {
+                let near_end = earliest_end(&mut near_ends, |i| {
+                    let near = &candidates[i];
+                    is_eligible(near).then(|| near.end(demand))
+                });
+                if near_end.is_some_and(|near| end >= near) {
+                    break;
+                }
+                detours.pop();
+                eligible.push(key(position, &candidates[position]));
+            }
             let Some(Reverse((_, _, position))) = eligible.pop() else { break };
             let best = &mut candidates[position];
             best.assign(demand);
-            eligible.extend(key(position, best));
             unplaced -= 1;
+            if !is_eligible(best) {
+                continue;
+            }
+            if best.is_far {
+                detours.push(Reverse((best.end(demand), position)));
+            } else {
+                eligible.push(key(position, best));
+            }
         }
         let used = candidates.into_iter().filter(|c| c.assigned > 0);
         let assignments = used.map(|c| Assignment {
@@ -263,6 +302,7 @@
                     / f64::from(demand.resources.cpu.max(1));
                 let free = agent.free();
                 let is_full = !demand.resources.fits(free);
+                let pressure = (agent.rack_pressure - 1.0).max(0.0) * self.settings.rack_cost;
                 let added =
                     if is_full { wait_per_task.mul_f64(unreported_tasks) } else { Duration::ZERO };
                 Candidate {
@@ -273,6 +313,8 @@
                     wait_per_task,
                     run_time,
                     jitter: run_time.mul_f64(self.rng.random::<f64>() * self.settings.jitter),
+                    rack_cost: demand.estimate.mul_f64(pressure.min(self.settings.max_rack_cost)),
+                    is_far: agent.distance_factor > 1.0,
                     // a suspect backend server gets a single task, as a probe
                     max_tasks: if agent.load.suspect { max_tasks.min(1) } else { max_tasks },
                     assigned: 0,
@@ -314,6 +356,11 @@
         if self.has_capacity(demand) { Duration::ZERO } else { self.wait + self.wait_per_task }
     }
 
+    /// Expected time until the next task ends.
+    fn end(&self, demand: &Demand) -> Duration {
+        self.expected_wait(demand) + self.run_time
+    }
+
     fn max_wait(&self, demand: &Demand, goal: Goal) -> Duration {
         match goal {
             Goal::InTime => demand
@@ -327,12 +374,12 @@
 
     fn cost(&self, settings: &PlacerSettings, demand: &Demand) -> Duration {
         if !self.has_capacity(demand) {
-            return self.expected_wait(demand) + self.run_time + self.jitter;
+            return self.end(demand) + self.jitter + self.rack_cost;
         }
         // with 32 spare tasks and more the risk is negligible
         let spare = self.free.room_for(demand.resources).saturating_sub(1).min(32);
         let risk = settings.collision_cost * settings.collision_risk.powi(spare as i32);
-        self.run_time + self.run_time.mul_f64(risk) + self.jitter
+        self.run_time + self.run_time.mul_f64(risk) + self.jitter + self.rack_cost
     }
 
     fn assign(&mut self, demand: &Demand) {
@@ -344,3 +391,20 @@
         self.assigned += 1;
     }
 }
+
+/// Earliest end in `ends`, whose entries may be too early or no longer count: `end`
+/// gives the present end of each, or `None`.
+fn earliest_end(
+    ends: &mut BinaryHeap<Reverse<(Duration, usize)>>,
+    end: impl Fn(usize) -> Option<Duration>,
+) -> Option<Duration> {
+    while let Some(Reverse((recorded, position))) = ends.peek().copied() {
+        let present = end(position);
+        if present == Some(recorded) {
+            return present;
+        }
+        ends.pop();
+        ends.extend(present.map(|present| Reverse((present, position))));
+    }
+    None
+}
