lease: each run that a crash of the backend server ends is logged and crashes are counted

On call, a run that its backend server took along couldn't be told from one that its entry gave up: E0811 says 'Lost' for both, and nothing counted the crashes under one job. E0834 now has a line for each such run, with its age when the server ceased to answer; egret_backend_crashes counts them.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -93,6 +93,7 @@
     SettingsRejected = 831 Error "changed settings rejected; the previous ones stay in force"
     EntryDiscovered = 832 Info "new entry discovered"
     SessionClosed = 833 Info "session closed: the entry has enough other agents"
+    RunCrashed = 834 Warn "run was active when its backend server crashed"
 }
 
 impl Event {
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -99,6 +99,8 @@
     leased_until: Uptime,
     /// listings that failed in a row
     failed_listings: u32,
+    /// when the first of them failed
+    silent_since: Option<Uptime>,
     /// the last listing had no orphan runs; false before the first listing
     no_orphans: bool,
     /// sequence number of the newest end processed
@@ -111,6 +113,8 @@
     centre: CentreState,
     /// runs stopped because the backend server exits before they can end
     cut_short: u64,
+    /// crashes of the backend server that ended runs
+    crashes: u64,
     effects: Vec<Effect>,
 }
 
@@ -155,6 +159,7 @@
             health: Health::default(),
             leased_until: Uptime::ZERO,
             failed_listings: 0,
+            silent_since: None,
             no_orphans: false,
             last_acked: 0,
             ended_runs: HashMap::new(),
@@ -162,6 +167,7 @@
             is_stopping: false,
             centre: CentreState::default(),
             cut_short: 0,
+            crashes: 0,
             effects: Vec::new(),
         }
     }
@@ -438,6 +444,7 @@
         }
         self.failed_listings = 0;
         self.on_incarnation(listing.started_ms, now);
+        self.silent_since = None;
         self.expire_sessions(now);
         // an answer is held back for at most the renewal interval: one that was read later,
         // because this agent was suspended, is older than it looks
@@ -468,6 +475,7 @@
     /// Handles the failure of a listing.
     pub fn on_listing_failed(&mut self, now: Uptime) {
         self.failed_listings += 1;
+        self.silent_since.get_or_insert(now);
         if self.failed_listings == MAX_FAILED_LISTINGS {
             Event::BackendUnresponsive
                 .note(&[("running", (self.active_runs().count() as u64).into())]);
@@ -579,6 +587,11 @@
         self.cut_short
     }
 
+    /// Number of crashes of the backend server that ended runs.
+    pub fn crashes(&self) -> u64 {
+        self.crashes
+    }
+
     /// Queued tasks and active runs.
     pub fn counts(&self) -> (usize, usize) {
         (self.queue.len(), self.active_runs().count())
@@ -1177,6 +1190,7 @@
         Event::BackendRestarted
             .note(&[("born", started_ms.into()), ("runs", (active.len() as u64).into())]);
         self.effects.push(Effect::RaiseFence);
+        self.note_crash(&active, now);
         for key in active {
             // a recent order may have reached the new incarnation, or may yet
             let reason = match self.runs.get(key).map(|r| r.state) {
@@ -1188,6 +1202,23 @@
         }
     }
 
+    /// Logs the runs that were active when the backend server crashed.
+    fn note_crash(&mut self, active: &[RunKey], now: Uptime) {
+        if active.is_empty() {
+            return;
+        }
+        self.crashes += 1;
+        let crashed_at = self.silent_since.unwrap_or(now);
+        for run in active.iter().filter_map(|key| self.runs.get(*key)) {
+            Event::RunCrashed.note(&[
+                ("job", (&*run.task.job).into()),
+                ("index", run.task.index.into()),
+                ("run", run.number.into()),
+                ("age_ms", millis(crashed_at.saturating_sub(run.ordered_at)).into()),
+            ]);
+        }
+    }
+
     fn order_stop(&mut self, key: RunKey, reason: StopReason, now: Uptime) {
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Stopping(Stopping { reason, ordered_at: now, confirmed_at: None });
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -271,6 +271,15 @@
         s.scheduler.on_listing(&Listing { requested_at: now, started_ms: 2, ..Listing::default() }, now);
         assert_eq!(s.endings(key), [Ending::Lost, Ending::Lost]);
     };
+    a_restart_counts_as_a_crash_if_it_ended_runs: |mut s| {
+        s.restart(2);
+        assert_eq!(s.scheduler.crashes(), 0);
+        s.place(1, 2, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.restart(3);
+        assert_eq!(s.scheduler.crashes(), 1);
+    };
     an_unanswered_start_is_voided_in_the_next_incarnation: |mut s| {
         let key = s.place(1, 1, 300);
         let order = s.starts().remove(0);
@@ -868,6 +877,12 @@
         self.list(&[RunProgress { task: order.task.clone(), run: order.run, percent }]);
     }
 
+    /// Handles the first listing of a later incarnation of the backend server.
+    fn restart(&mut self, started_ms: u64) {
+        let listing = Listing { requested_at: self.now, started_ms, ..Listing::default() };
+        self.scheduler.on_listing(&listing, self.now);
+    }
+
     /// Handles a listing with one ended run; other runs go on.
     fn end(&mut self, sequence: u64, order: &StartOrder, cause: EndCause) {
         let row = RunEnd { sequence, task: order.task.clone(), run: order.run, cause };
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -185,6 +185,11 @@
         self.scheduler.borrow().cut_short()
     }
 
+    /// Number of crashes of the backend server that ended runs.
+    pub fn crashes(&self) -> u64 {
+        self.scheduler.borrow().crashes()
+    }
+
     /// Extends the session of an entry that is known to have been alive at `at`.
     pub fn extend_session(self: &Rc<Self>, session: SessionId, name: &Name, at: Uptime) {
         let now = uptime();
--- a/crates/runner/src/metrics.rs
+++ b/crates/runner/src/metrics.rs
@@ -40,6 +40,8 @@
     pub cold: Gauge<u64, AtomicU64>,
     /// runs stopped because the backend server exits before they can end
     pub cut_short: Counter<u64, AtomicU64>,
+    /// crashes of the backend server that ended runs
+    pub crashes: Counter<u64, AtomicU64>,
     links: LinkMetrics,
 }
 
@@ -81,6 +83,12 @@
             "Runs stopped because the backend server exits before they can end",
             cut_short.clone(),
         );
+        let crashes = Counter::default();
+        registry.register(
+            "backend_crashes",
+            "Crashes of the backend server that ended runs",
+            crashes.clone(),
+        );
         let links = LinkMetrics::register(&mut registry);
         Self {
             registry,
@@ -92,6 +100,7 @@
             draining,
             cold,
             cut_short,
+            crashes,
             links,
         }
     }
