lease: a renewal that was not delivered extends no lease

Cause: an agent counts a lease as extended when it calls, since the call may be delivered although no answer comes. A refused connection delivers nothing, yet each retry moved the end of the leases on, so they ended only with the restart that a listing showed.

A lease now counts as given while its call is in progress, and afterwards unless no connection was made. Silence still extends it: a backend server that only answers slowly loses nothing.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -34,7 +34,9 @@
 pub use health::HealthSettings;
 pub use listing::{EndCause, Listing, RunEnd, RunProgress};
 pub use load::{AgentLoad, ClassStats};
-pub use order::{Effect, RefusalReason, RunKey, StartOrder, StartOutcome, StopOrder, TaskRef};
+pub use order::{
+    Delivery, Effect, RefusalReason, RunKey, StartOrder, StartOutcome, StopOrder, TaskRef,
+};
 pub use phase::Phase;
 pub use resources::Resources;
 pub use scheduler::{CentreState, Scheduler, SchedulerSettings};
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -79,3 +79,12 @@
     /// no answer: the order may have been carried out, or may be later
     Indeterminate,
 }
+
+/// Whether a call with a lease has reached the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// it has, or may yet
+    Possible,
+    /// no connection was made
+    Failed,
+}
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -4,9 +4,10 @@
 use slotmap::SlotMap;
 
 use crate::{
-    AgentLoad, Batch, BatchLookup, BatchTask, CLASSES, Class, ClassStats, Effect, EndCause, Ending,
-    HealthSettings, LeaseTimings, Listing, Phase, Progress, RefusalReason, Resources, RunEnd,
-    RunKey, RunProgress, SessionId, StartOrder, StartOutcome, StopOrder, TaskRef, TaskResult,
+    AgentLoad, Batch, BatchLookup, BatchTask, CLASSES, Class, ClassStats, Delivery, Effect,
+    EndCause, Ending, HealthSettings, LeaseTimings, Listing, Phase, Progress, RefusalReason,
+    Resources, RunEnd, RunKey, RunProgress, SessionId, StartOrder, StartOutcome, StopOrder,
+    TaskRef, TaskResult,
     batch::{BatchKey, BatchState},
     health::Health,
     plan::{Occupancy, Plan},
@@ -95,12 +96,16 @@
     returned: [u64; CLASSES],
     speed: Speed,
     health: Health,
-    /// latest end of any lease given to the backend server
+    /// latest end of any lease that the backend server may have got
     leased_until: Uptime,
+    /// ends of leases whose calls are in progress
+    pending_leases: Vec<Uptime>,
     /// listings that failed in a row
     failed_listings: u32,
     /// when the first of them failed
     silent_since: Option<Uptime>,
+    /// the backend server could not be reached since the last listing
+    is_unreachable: bool,
     /// the last listing had no orphan runs; false before the first listing
     no_orphans: bool,
     /// sequence number of the newest end processed
@@ -158,8 +163,10 @@
             speed: Speed::default(),
             health: Health::default(),
             leased_until: Uptime::ZERO,
+            pending_leases: Vec::new(),
             failed_listings: 0,
             silent_since: None,
+            is_unreachable: false,
             no_orphans: false,
             last_acked: 0,
             ended_runs: HashMap::new(),
@@ -445,6 +452,7 @@
         self.failed_listings = 0;
         self.on_incarnation(listing.started_ms, now);
         self.silent_since = None;
+        self.is_unreachable = false;
         self.expire_sessions(now);
         // an answer is held back for at most the renewal interval: one that was read later,
         // because this agent was suspended, is older than it looks
@@ -472,6 +480,12 @@
         self.advance(now);
     }
 
+    /// Handles the failure of a listing whose request could not be sent.
+    pub fn on_unreachable(&mut self, now: Uptime) {
+        self.is_unreachable = true;
+        self.on_listing_failed(now);
+    }
+
     /// Handles the failure of a listing.
     pub fn on_listing_failed(&mut self, now: Uptime) {
         self.failed_listings += 1;
@@ -505,6 +519,16 @@
         Some(self.extend_lease(last_seen, now))
     }
 
+    /// Handles the outcome of the call with a lease that ends at `end`. Until then, the
+    /// lease counts as given.
+    pub fn settle_lease(&mut self, end: Uptime, delivery: Delivery) {
+        let Some(index) = self.pending_leases.iter().position(|e| *e == end) else { return };
+        self.pending_leases.swap_remove(index);
+        if delivery == Delivery::Possible {
+            self.leased_until = self.leased_until.max(end);
+        }
+    }
+
     /// Sequence number of the newest end processed.
     pub fn last_acked(&self) -> u64 {
         self.last_acked
@@ -601,7 +625,15 @@
     fn extend_lease(&mut self, last_seen: Uptime, now: Uptime) -> Uptime {
         let LeaseTimings { session_ttl, lease_ttl, .. } = self.settings.timings;
         let lease_end = (last_seen + session_ttl).min(now + lease_ttl);
-        self.leased_until = self.leased_until.max(lease_end);
+        // those without an outcome by their end count as given
+        let leased_until = &mut self.leased_until;
+        self.pending_leases.retain(|end| {
+            if *end < now {
+                *leased_until = (*leased_until).max(*end);
+            }
+            *end >= now
+        });
+        self.pending_leases.push(lease_end);
         lease_end
     }
 
@@ -651,15 +683,25 @@
             return;
         }
         let active: Vec<RunKey> = self.active_runs().collect();
-        Event::LeasesExpired.note(&[("runs", (active.len() as u64).into())]);
+        Event::LeasesExpired.note(&[
+            ("runs", (active.len() as u64).into()),
+            ("unreachable", self.is_unreachable.into()),
+        ]);
+        let reason = if self.is_unreachable {
+            self.note_crash(&active, now);
+            "backend server crashed"
+        } else {
+            "lease of the backend server lapsed"
+        };
         for key in active {
-            self.end_run(key, Ending::Lost, "lease of the backend server lapsed", now);
+            self.end_run(key, Ending::Lost, reason, now);
         }
     }
 
     fn lease_expiry(&self) -> Uptime {
         let ttl = self.settings.timings.lease_ttl;
-        self.leased_until + LeaseTimings::worst_case_expiry(ttl).saturating_sub(ttl) + EXPIRY_MARGIN
+        let leased_until = self.pending_leases.iter().copied().fold(self.leased_until, Uptime::max);
+        leased_until + LeaseTimings::worst_case_expiry(ttl).saturating_sub(ttl) + EXPIRY_MARGIN
     }
 
     /// Stops the runs that can't end before the backend server exits, so that their
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -1,13 +1,13 @@
 //! Decisions of the scheduler, one situation per case.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use base::Uptime;
 use lease::{
-    Batch, BatchKey, BatchLookup, BatchTask, CentreState, Class, Effect, EndCause, Ending,
-    HealthSettings, LeaseBounds, LeaseTimings, Listing, Phase, RefusalReason, Resources, RunEnd,
-    RunProgress, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
-    TaskRef,
+    Batch, BatchKey, BatchLookup, BatchTask, CentreState, Class, Delivery, Effect, EndCause,
+    Ending, HealthSettings, LeaseBounds, LeaseTimings, Listing, Phase, RefusalReason, Resources,
+    RunEnd, RunProgress, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome,
+    StopOrder, TaskRef,
 };
 
 const ENTRY: SessionId = SessionId(1);
@@ -299,6 +299,23 @@
         s.scheduler.on_listing(&Listing { requested_at: now, started_ms: 2, ..Listing::default() }, now);
         assert_eq!(s.starts().first().map(|o| o.run), Some(order.run + 1));
     };
+    undelivered_renewals_extend_no_lease: |mut s| {
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.fail_renewals(0..400, Delivery::Failed);
+        assert!(s.endings(key).is_empty(), "the lease of the start lasts");
+        s.fail_renewals(400..700, Delivery::Failed);
+        assert_eq!(s.endings(key), [Ending::Lost]);
+    };
+    renewals_without_an_answer_extend_the_lease: |mut s| {
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.fail_renewals(0..3000, Delivery::Possible);
+        assert!(s.endings(key).is_empty(), "a silent backend server may run it");
+        assert_eq!(s.scheduler.crashes(), 0);
+    };
     an_announcement_of_an_earlier_incarnation_is_ignored: |mut s| {
         let key = s.place(1, 1, 300);
         let first = s.starts();
@@ -896,6 +913,19 @@
         self.scheduler.on_listing(&listing, self.now);
     }
 
+    /// Lets all renewals of a period fail, one each 50 ms.
+    fn fail_renewals(&mut self, period: Range<u64>, delivery: Delivery) {
+        for ms in period.step_by(50) {
+            self.advance_to(ms);
+            let lease = self.scheduler.renew_lease(self.now).expect("the session is open");
+            self.scheduler.settle_lease(lease, delivery);
+            match delivery {
+                Delivery::Possible => self.scheduler.on_listing_failed(self.now),
+                Delivery::Failed => self.scheduler.on_unreachable(self.now),
+            }
+        }
+    }
+
     fn endings(&mut self, key: BatchKey) -> Vec<Ending> {
         let progress = self.scheduler.progress(key, 0, self.now);
         progress.map(|p| p.results.iter().map(|s| s.ending).collect()).unwrap_or_default()
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -8,8 +8,8 @@
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
     AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, CLASSES, CentreState,
-    ClassStats, Effect, HealthSettings, LeaseTimings, Phase, Progress, RefusalReason, Scheduler,
-    SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
+    ClassStats, Delivery, Effect, HealthSettings, LeaseTimings, Phase, Progress, RefusalReason,
+    Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
 use tokio::{
@@ -384,16 +384,16 @@
     /// if the call failed, other than by a refused fencing token.
     async fn renew_lease(self: &Rc<Self>, wait: Duration) -> bool {
         let requested_at = uptime();
-        let lease_end = self
-            .scheduler
-            .borrow_mut()
-            .renew_lease(requested_at)
-            .and_then(|lease_end| self.to_backend_clock(lease_end));
+        let lease = self.scheduler.borrow_mut().renew_lease(requested_at);
+        let lease_end = lease.and_then(|end| self.to_backend_clock(end));
         let fence = self.fence.get();
         let renewal =
             Renewal { lease_end, fence, acked: self.scheduler.borrow().last_acked(), wait };
         let backend = self.backend.clone();
         let reply = self.await_answer(wait, async move { backend.renew(renewal).await }).await;
+        if let Some(end) = lease {
+            self.scheduler.borrow_mut().settle_lease(end, delivery(&reply));
+        }
         match reply {
             Ok(reply) => {
                 self.record_clock(reply.clock);
@@ -409,20 +409,27 @@
                 self.on_fence_refused(fence);
                 true
             }
-            Err(_) => {
+            Err(e) => {
                 // the backend server may have restarted: its next incarnation must
                 // refuse the earlier orders even before the restart is known
                 self.raise_fence();
-                self.with_scheduler(|scheduler, now| scheduler.on_listing_failed(now));
+                self.with_scheduler(|scheduler, now| match e {
+                    Error::Unreachable(_) => scheduler.on_unreachable(now),
+                    _ => scheduler.on_listing_failed(now),
+                });
                 false
             }
         }
     }
 
     async fn start_run(self: Rc<Self>, order: StartOrder) {
-        let lease_end = self.scheduler.borrow_mut().lease_for_start(order.key, uptime());
-        let Some(lease_end) = lease_end.and_then(|end| self.to_backend_clock(end)) else {
+        let lease = self.scheduler.borrow_mut().lease_for_start(order.key, uptime());
+        let sendable = lease.and_then(|end| Some((end, self.to_backend_clock(end)?)));
+        let Some((lease, lease_end)) = sendable else {
             // no order can be sent without a lease or the backend server's clock
+            if let Some(end) = lease {
+                self.scheduler.borrow_mut().settle_lease(end, Delivery::Failed);
+            }
             return self.with_scheduler(|scheduler, now| {
                 scheduler.on_start_outcome(
                     order.key,
@@ -434,7 +441,9 @@
         let terms = Terms { lease_end, fence: self.fence.get() };
         let (backend, key) = (self.backend.clone(), order.key);
         let call = async move { backend.start(&order, terms).await };
-        let outcome = match self.await_answer(Duration::ZERO, call).await {
+        let answer = self.await_answer(Duration::ZERO, call).await;
+        self.scheduler.borrow_mut().settle_lease(lease, delivery(&answer));
+        let outcome = match answer {
             Ok(clock) => {
                 self.record_clock(clock);
                 StartOutcome::Accepted
@@ -546,6 +555,14 @@
     }
 }
 
+/// Whether a call with this outcome may have reached the backend server.
+fn delivery<T>(outcome: &crate::Result<T>) -> Delivery {
+    match outcome {
+        Err(Error::Unreachable(_)) => Delivery::Failed,
+        _ => Delivery::Possible,
+    }
+}
+
 /// Waits for an answer up to `limit`, and a little longer if the process was suspended
 /// meanwhile: the timer then fires before an answer that has arrived can be read.
 async fn timeout_awake<T>(
