lease, dispatch: a task that was active in several crashes is given up, suspects run alone

A task that crashes the backend server that starts it was placed on the next one for as long as its caller waited: 20 or 21 crashes by one task in 9 s in the test, 111 or 112 by twelve tasks of one job.

Cause: only ends reported as 'failed' count as attempts. A run that ends with its server is lost, and lost runs are placed again without a limit, blamed on the server alone; the agent even repeated an order that was left unanswered by a crash on the restarted server, unknown to the entry.

The agent now says which runs were active in a crash, and for each the probability that it caused it: inversely proportional to its age, beside a share for the server itself. The entry counts crashes by task. After the first one the tasks of a suspect job run one at a time until one ends well. A job that was given up and is sent again to the same entry isn't started.

an_unanswered_start_is_voided_in_the_next_incarnation asserted at its end that the order is repeated in the next incarnation, which is the fault; it now asserts that it isn't, and that the run is reported lost with a suspicion.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -69,6 +69,7 @@
     JobUnreadable = 805 Warn "job can't be read"
     TaskReturned = 806 Info "task returned by an agent without success"
     CallerDisconnected = 807 Info "caller disconnected before the answer"
+    TaskCrashed = 808 Warn "backend server of a task crashed"
     BatchQueued = 810 Info "batch of tasks queued for the backend server"
     TaskEnded = 811 Info "task ended"
     OrderUnanswered = 812 Warn "no answer to a start order"
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -15,8 +15,8 @@
 use placement::{ObjectiveSettings, Placer, PlacerSettings, RackDemand};
 
 use crate::{
-    Agents, Job, JobAnswer, JobReport, Metrics, RackReport, agent_client::AgentClient,
-    cancel::CancelSignal, execution::JobExecution,
+    Agents, CrashHistory, Job, JobAnswer, JobReport, Metrics, RackReport,
+    agent_client::AgentClient, cancel::CancelSignal, execution::JobExecution,
 };
 
 /// Settings of a job dispatcher.
@@ -43,6 +43,7 @@
     metrics: Arc<Metrics>,
     placer: RefCell<Placer>,
     racks: RefCell<RackDemand>,
+    crashes: RefCell<CrashHistory>,
     started_at: Uptime,
     last_batch: Cell<u64>,
     /// deadline for all answers, once this entry stops
@@ -73,6 +74,7 @@
             metrics,
             placer: RefCell::new(placer),
             racks: RefCell::default(),
+            crashes: RefCell::default(),
             started_at: uptime(),
             last_batch: Cell::new(0),
             deadline: Cell::new(None),
@@ -207,6 +209,11 @@
         self.racks.borrow()
     }
 
+    /// Crashes under the jobs of this entry.
+    pub(crate) fn crashes(&self) -> RefMut<'_, CrashHistory> {
+        self.crashes.borrow_mut()
+    }
+
     pub(crate) fn objective(&self) -> &ObjectiveSettings {
         &self.settings.objective
     }
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -11,6 +11,7 @@
     agent::Agent,
     backlog::Ticket,
     cancel::CancelSignal,
+    crash_history::Verdict,
     placed_batch::{BatchUpdate, PlacedBatch},
 };
 
@@ -24,6 +25,11 @@
 /// Part of the caller's time that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// Reasons of answers.
+const FAILS: &str = "a task failed as often as it may";
+const CRASHES_SERVERS: &str = "a task crashes backend servers";
+const MAY_CRASH_SERVERS: &str = "a task may have crashed its backend server";
+
 /// State of one task of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Task {
@@ -55,6 +61,8 @@
     sent: HashMap<Name, usize>,
     /// batches with pending tasks
     placed: Vec<(Rc<Agent>, u64)>,
+    /// batch of the only task that may run while this job is a suspect
+    alone: Option<u64>,
     /// whether any task has started, or may have
     started: Rc<Cell<bool>>,
     cancel: Rc<CancelSignal>,
@@ -90,6 +98,7 @@
             next_offer: Uptime::ZERO,
             sent: HashMap::new(),
             placed: Vec::new(),
+            alone: None,
             started,
             cancel,
             ticket: None,
@@ -125,6 +134,9 @@
     }
 
     async fn run(&mut self) -> JobAnswer {
+        if self.dispatcher.crashes().has_failed(&self.job.id) {
+            return JobAnswer::Failed { reason: CRASHES_SERVERS.into() };
+        }
         self.dispatcher.agents().note_requirements(&self.job);
         let mut calls = PendingCalls::new();
         loop {
@@ -185,6 +197,13 @@
                 _ => None,
             })
             .collect();
+        let is_suspect = self.dispatcher.crashes().is_suspect(&self.job.id);
+        if is_suspect {
+            if self.placed.iter().any(|(_, number)| Some(*number) == self.alone) {
+                return 0;
+            }
+            unplaced.truncate(1);
+        }
         if unplaced.is_empty() {
             return 0;
         }
@@ -203,7 +222,8 @@
         for assignment in &plan.assignments {
             let agent = agents[assignment.agent].clone();
             let tasks: Vec<BatchTask> = unplaced.drain(..assignment.tasks).collect();
-            self.send(agent, tasks, assignment.max_wait, time_left, calls);
+            let number = self.send(agent, tasks, assignment.max_wait, time_left, calls);
+            self.alone = is_suspect.then_some(number);
         }
         Event::JobPlaced.note(&[
             ("job", (&*self.job.id).into()),
@@ -290,7 +310,7 @@
         max_wait: Duration,
         time_left: Duration,
         calls: &mut PendingCalls,
-    ) {
+    ) -> u64 {
         for task in &tasks {
             self.tasks[task.index as usize] = Task::Placed;
         }
@@ -312,6 +332,7 @@
             tasks,
         };
         calls.push(self.follow(PlacedBatch::new(agent, batch), false));
+        number
     }
 
     /// Waits for the next update of a batch, which is sent to its agent first unless
@@ -352,8 +373,8 @@
             self.dispatcher.agents().backlog.wake();
         }
         for result in &progress.results {
-            if self.record_result(result, &batch) {
-                return Some(JobAnswer::Failed);
+            if let Some(answer) = self.record_result(result, &batch) {
+                return Some(answer);
             }
         }
         batch.record_results(&progress.results);
@@ -373,21 +394,24 @@
             ending,
             reason: reason.into(),
             run_time: Duration::ZERO,
+            suspicion: None,
         });
         Progress { results: results.collect(), ..Progress::default() }
     }
 
-    /// Records the result of a task; returns whether the job has failed because of it.
-    fn record_result(&mut self, result: &TaskResult, batch: &PlacedBatch) -> bool {
+    /// Records the result of a task; returns the answer if the job ends because of it.
+    fn record_result(&mut self, result: &TaskResult, batch: &PlacedBatch) -> Option<JobAnswer> {
         let agent = &batch.agent.name;
-        let Some(task) = self.tasks.get_mut(result.index as usize) else { return false };
+        let task = self.tasks.get_mut(result.index as usize)?;
         let ending = match result.ending {
             Ending::Done => {
                 *task = Task::Done;
                 self.dispatcher.metrics().record_ending("done");
-                return false;
+                self.dispatcher.crashes().record_success(&self.job.id);
+                return None;
             }
             Ending::Failed => "failed",
+            Ending::Lost if result.suspicion.is_some() => "crashed",
             Ending::Lost => "lost",
             Ending::NotRun => "not-run",
         };
@@ -409,9 +433,29 @@
         if result.ending == Ending::Failed {
             let failures = &mut self.failures[result.index as usize];
             *failures += 1;
-            return *failures >= self.job.queue_settings.attempts;
+            let is_last = *failures >= self.job.queue_settings.attempts;
+            return is_last.then(|| JobAnswer::Failed { reason: FAILS.into() });
+        }
+        self.on_crash(result.index, result.suspicion?)
+    }
+
+    /// Records a crash in which a task was active; returns the answer if the task is not
+    /// started again.
+    fn on_crash(&mut self, index: u32, suspicion: f64) -> Option<JobAnswer> {
+        let (job, queue) = (&self.job.id, &self.job.queue);
+        let verdict = self.dispatcher.crashes().record(job, queue, index, suspicion, uptime());
+        Event::TaskCrashed.note(&[
+            ("job", (&**job).into()),
+            ("queue", (&**queue).into()),
+            ("index", index.into()),
+            ("suspicion", suspicion.into()),
+            ("verdict", format!("{verdict:?}").as_str().into()),
+        ]);
+        match verdict {
+            Verdict::Retry | Verdict::RetryAlone => None,
+            Verdict::Abandon => Some(JobAnswer::Abandoned { reason: MAY_CRASH_SERVERS.into() }),
+            Verdict::Fail => Some(JobAnswer::Failed { reason: CRASHES_SERVERS.into() }),
         }
-        false
     }
 
     /// Whether every agent that takes work has returned a task of this job.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -33,8 +33,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobAnswer {
     Completed,
-    /// a task has used up its attempts
-    Failed,
+    /// a task has used up its attempts, or crashes backend servers
+    Failed {
+        reason: Name,
+    },
     /// no task ran, and none will
     Refused {
         reason: Name,
@@ -50,7 +52,7 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             JobAnswer::Completed => "completed",
-            JobAnswer::Failed => "failed",
+            JobAnswer::Failed { .. } => "failed",
             JobAnswer::Refused { .. } => "refused",
             JobAnswer::Abandoned { .. } => "given-up",
         }
@@ -60,8 +62,9 @@
     pub fn reason(&self) -> &str {
         match self {
             JobAnswer::Completed => "",
-            JobAnswer::Failed => "a task failed as often as it may",
-            JobAnswer::Refused { reason, .. } | JobAnswer::Abandoned { reason } => reason,
+            JobAnswer::Failed { reason }
+            | JobAnswer::Refused { reason, .. }
+            | JobAnswer::Abandoned { reason } => reason,
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod agents;
 mod backlog;
 mod cancel;
+mod crash_history;
 mod dispatcher;
 mod execution;
 mod gossip;
@@ -23,6 +24,7 @@
 
 pub use agents::Agents;
 pub use backlog::{Backlog, Ticket};
+pub use crash_history::{CrashHistory, CrashSettings, Verdict};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -49,7 +49,7 @@
 }
 
 /// How a placed task ended, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TaskResult {
     pub index: u32,
     /// number of the last run
@@ -58,6 +58,9 @@
     pub reason: Name,
     /// time from the start to the end
     pub run_time: Duration,
+    /// probability that the task crashed the backend server; `None` if it was not
+    /// active in a crash
+    pub suspicion: Option<f64>,
 }
 
 /// State of the tasks of a batch.
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -24,6 +24,7 @@
 mod session;
 mod shares;
 mod speed;
+mod suspicions;
 mod timings;
 
 pub use adaptive_timeout::AdaptiveTimeout;
--- a/crates/lease/src/run.rs
+++ b/crates/lease/src/run.rs
@@ -16,6 +16,8 @@
     /// when its start was ordered
     pub ordered_at: Uptime,
     pub progress: ProgressTracker,
+    /// probability that it crashed the backend server, once that has crashed
+    pub suspicion: Option<f64>,
 }
 
 /// State of a run.
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -16,6 +16,7 @@
     session::Session,
     shares::{Shares, core_seconds},
     speed::Speed,
+    suspicions::Suspicions,
 };
 
 /// Time after which a stop that was not confirmed is ordered again.
@@ -688,7 +689,7 @@
             ("unreachable", self.is_unreachable.into()),
         ]);
         let reason = if self.is_unreachable {
-            self.note_crash(&active, now);
+            self.record_crash(&active, now);
             "backend server crashed"
         } else {
             "lease of the backend server lapsed"
@@ -1071,6 +1072,7 @@
             state: State::Queued,
             ordered_at: now,
             progress: ProgressTracker::default(),
+            suspicion: None,
         });
         self.run_by_task.insert(task_ref, key);
         self.push_queued((start_deadline, key), batch);
@@ -1232,31 +1234,45 @@
         Event::BackendRestarted
             .note(&[("born", started_ms.into()), ("runs", (active.len() as u64).into())]);
         self.effects.push(Effect::RaiseFence);
-        self.note_crash(&active, now);
+        self.record_crash(&active, now);
         for key in active {
-            // a recent order may have reached the new incarnation, or may yet
+            // a recent order may have reached the new incarnation, or may yet; it is not
+            // repeated here, as it may have caused the crash
             let reason = match self.runs.get(key).map(|r| r.state) {
-                Some(State::Starting) => StopReason::Unanswered,
-                Some(State::Stopping(stopping)) => stopping.reason,
+                Some(State::Stopping(Stopping { reason, .. }))
+                    if reason != StopReason::Unanswered =>
+                {
+                    reason
+                }
                 _ => StopReason::BackendRestarted,
             };
             self.order_stop(key, reason, now);
         }
     }
 
-    /// Logs the runs that were active when the backend server crashed.
-    fn note_crash(&mut self, active: &[RunKey], now: Uptime) {
+    /// Records a crash of the backend server that ended these runs, and how likely each
+    /// of them has caused it.
+    fn record_crash(&mut self, active: &[RunKey], now: Uptime) {
         if active.is_empty() {
             return;
         }
         self.crashes += 1;
         let crashed_at = self.silent_since.unwrap_or(now);
-        for run in active.iter().filter_map(|key| self.runs.get(*key)) {
+        let runs = || active.iter().filter_map(|key| self.runs.get(*key));
+        // those ordered later can't have caused it
+        let ages =
+            runs().filter_map(|r| Some((&r.task.job, crashed_at.checked_sub(r.ordered_at)?)));
+        let suspicions = Suspicions::new(ages);
+        for key in active {
+            let Some(run) = self.runs.get_mut(*key) else { continue };
+            let suspicion = suspicions.of(&run.task.job);
+            run.suspicion = Some(suspicion);
             Event::RunCrashed.note(&[
                 ("job", (&*run.task.job).into()),
                 ("index", run.task.index.into()),
                 ("run", run.number.into()),
                 ("age_ms", millis(crashed_at.saturating_sub(run.ordered_at)).into()),
+                ("suspicion", suspicion.into()),
             ]);
         }
     }
@@ -1276,6 +1292,7 @@
             ending: Ending::NotRun,
             reason: reason.into(),
             run_time: Duration::ZERO,
+            suspicion: None,
         };
         self.record_result(key, result, now);
     }
@@ -1305,6 +1322,7 @@
             ending,
             reason: reason.into(),
             run_time,
+            suspicion: run.suspicion,
         };
         self.record_result(run.batch, result, now);
     }
--- /dev/null
+++ b/crates/lease/src/suspicions.rs
@@ -0,0 +1,40 @@
+use std::{collections::HashMap, time::Duration};
+
+use base::Name;
+
+/// Least age of a run, as times are exact to about a millisecond.
+const MIN_AGE: Duration = Duration::from_millis(1);
+
+/// Age of a run that is as likely to have crashed its server as the server itself.
+const NEUTRAL_AGE: Duration = Duration::from_millis(100);
+
+/// Probabilities that jobs have crashed a backend server.
+///
+/// How long a task runs before it crashes its server is unknown, and most likely short.
+/// With each order of magnitude of that time equally likely, the probability of a run
+/// is inversely proportional to its age. The tasks of a job behave alike, so only its
+/// newest run counts. The server may also have crashed by itself.
+pub(crate) struct Suspicions {
+    weights: HashMap<Name, f64>,
+}
+
+impl Suspicions {
+    /// `runs` are the active runs at the crash, each with its job and age.
+    pub fn new<'a>(runs: impl Iterator<Item = (&'a Name, Duration)>) -> Self {
+        let mut weights: HashMap<Name, f64> = HashMap::new();
+        for (job, age) in runs {
+            let known = weights.entry(job.clone()).or_default();
+            *known = known.max(weight(age));
+        }
+        Self { weights }
+    }
+
+    pub fn of(&self, job: &Name) -> f64 {
+        let total = weight(NEUTRAL_AGE) + self.weights.values().sum::<f64>();
+        self.weights.get(job).map_or(0.0, |weight| weight / total)
+    }
+}
+
+fn weight(age: Duration) -> f64 {
+    age.max(MIN_AGE).as_secs_f64().recip()
+}
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -294,10 +294,24 @@
         s.now += Duration::from_millis(5);
         let now = s.now;
         s.scheduler.on_stop_confirmed(&void, now);
+        assert!(s.scheduler.progress(key, 0, now).is_none(), "not before a listing lacks it");
         s.now += Duration::from_millis(5);
-        let now = s.now;
-        s.scheduler.on_listing(&Listing { requested_at: now, started_ms: 2, ..Listing::default() }, now);
-        assert_eq!(s.starts().first().map(|o| o.run), Some(order.run + 1));
+        s.restart(2);
+        assert!(s.starts().is_empty(), "it may have caused the crash");
+        assert_eq!(s.endings(key), [Ending::Lost]);
+        let suspicion = s.suspicions(key)[0].expect("it crashed");
+        assert!(suspicion > 0.8, "{suspicion}");
+    };
+    an_order_left_unanswered_by_a_crash_is_not_repeated_after_it: |mut s| {
+        let key = s.place(1, 1, 9000);
+        let order = s.starts().remove(0);
+        s.answer(&order, StartOutcome::Indeterminate);
+        s.restart(2);
+        s.confirm_stops();
+        s.advance_to(5);
+        s.restart(2);
+        assert!(s.starts().is_empty());
+        assert_eq!(s.endings(key), [Ending::Lost]);
     };
     undelivered_renewals_extend_no_lease: |mut s| {
         let key = s.place(1, 1, 300);
@@ -316,6 +330,37 @@
         assert!(s.endings(key).is_empty(), "a silent backend server may run it");
         assert_eq!(s.scheduler.crashes(), 0);
     };
+    the_newest_run_is_suspected_most_of_a_crash: |mut s| {
+        let old = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.advance_to(90);
+        s.list_progress(&orders[0], 30);
+        let new = s.place(2, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.fail_renewals(100..800, Delivery::Failed);
+        assert_eq!(s.scheduler.crashes(), 1);
+        let (old, new) = (s.suspicions(old)[0], s.suspicions(new)[0]);
+        let (old, new) = (old.expect("it crashed"), new.expect("it crashed"));
+        assert!((old - 1.0 / 12.0).abs() < 0.001, "{old} after 100 ms");
+        assert!((new - 10.0 / 12.0).abs() < 0.001, "{new} after 10 ms");
+    };
+    tasks_of_one_job_are_suspected_together: |mut s| {
+        let key = s.place(1, 2, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.fail_renewals(100..800, Delivery::Failed);
+        assert_eq!(s.suspicions(key), [Some(0.5); 2], "as likely as the server itself");
+    };
+    an_end_of_another_cause_is_no_crash: |mut s| {
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.advance_to(50);
+        s.end(1, &orders[0], EndCause::Failed);
+        assert_eq!(s.suspicions(key), [None]);
+    };
     an_announcement_of_an_earlier_incarnation_is_ignored: |mut s| {
         let key = s.place(1, 1, 300);
         let first = s.starts();
@@ -926,6 +971,11 @@
         }
     }
 
+    fn suspicions(&mut self, key: BatchKey) -> Vec<Option<f64>> {
+        let progress = self.scheduler.progress(key, 0, self.now);
+        progress.map(|p| p.results.iter().map(|s| s.suspicion).collect()).unwrap_or_default()
+    }
+
     fn endings(&mut self, key: BatchKey) -> Vec<Ending> {
         let progress = self.scheduler.progress(key, 0, self.now);
         progress.map(|p| p.results.iter().map(|s| s.ending).collect()).unwrap_or_default()
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -274,6 +274,8 @@
   ending @2 :Ending;
   reason @3 :Text;
   ranUs @4 :UInt64;
+  crashed @5 :Bool;      # it ran when its backend server crashed
+  suspicion @6 :Float32; # probability that it caused the crash
 }
 
 # Where the tasks of a batch stand.
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -211,6 +211,10 @@
     });
     to.set_reason(&*it.reason);
     to.set_ran_us(micros(it.run_time));
+    if let Some(suspicion) = it.suspicion {
+        to.set_crashed(true);
+        to.set_suspicion(suspicion as f32);
+    }
 }
 
 fn read_result(from: settled::Reader<'_>) -> Result<TaskResult> {
@@ -226,6 +230,7 @@
         ending,
         reason: read_name(from.get_reason())?,
         run_time: Duration::from_micros(from.get_ran_us()),
+        suspicion: from.get_crashed().then(|| from.get_suspicion().into()),
     })
 }
 
