--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -2,7 +2,7 @@
 
 use base::{Event, Name, Uptime, uptime};
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use lease::{Batch, BatchTask, Ending, Progress, TaskResult};
+use lease::{Batch, BatchTask, Crash, Ending, Progress, TaskResult};
 use placement::{AgentView, Ahead, Demand, Objective, Plan, Shape, Stage, Turn, Waiter};
 use tokio::time::sleep;
 
@@ -11,7 +11,7 @@
     agent::Agent,
     backlog::Ticket,
     cancel::CancelSignal,
-    crash_history::Verdict,
+    crash_history::{CrashedTask, Verdict},
     placed_batch::{BatchUpdate, PlacedBatch},
 };
 
@@ -134,8 +134,9 @@
     }
 
     async fn run(&mut self) -> JobAnswer {
-        if self.dispatcher.crashes().has_failed(&self.job.id) {
-            return JobAnswer::Failed { reason: CRASHES_SERVERS.into() };
+        let verdict = self.dispatcher.crashes().earlier_verdict(&self.job.id);
+        if let Some(answer) = verdict.and_then(final_answer) {
+            return answer;
         }
         self.dispatcher.agents().note_requirements(&self.job);
         let mut calls = PendingCalls::new();
@@ -394,7 +395,7 @@
             ending,
             reason: reason.into(),
             run_time: Duration::ZERO,
-            suspicion: None,
+            crash: None,
         });
         Progress { results: results.collect(), ..Progress::default() }
     }
@@ -411,7 +412,7 @@
                 return None;
             }
             Ending::Failed => "failed",
-            Ending::Lost if result.suspicion.is_some() => "crashed",
+            Ending::Lost if result.crash.is_some() => "crashed",
             Ending::Lost => "lost",
             Ending::NotRun => "not-run",
         };
@@ -436,26 +437,24 @@
             let is_last = *failures >= self.job.queue_settings.attempts;
             return is_last.then(|| JobAnswer::Failed { reason: FAILS.into() });
         }
-        self.on_crash(result.index, result.suspicion?)
+        self.on_crash(result.index, agent, result.crash?)
     }
 
     /// Records a crash in which a task was active; returns the answer if the task is not
     /// started again.
-    fn on_crash(&mut self, index: u32, suspicion: f64) -> Option<JobAnswer> {
+    fn on_crash(&self, index: u32, agent: &Name, crash: Crash) -> Option<JobAnswer> {
         let (job, queue) = (&self.job.id, &self.job.queue);
-        let verdict = self.dispatcher.crashes().record(job, queue, index, suspicion, uptime());
+        let task = CrashedTask { job, queue, index, agent };
+        let verdict = self.dispatcher.crashes().record(task, crash, uptime());
         Event::TaskCrashed.note(&[
             ("job", (&**job).into()),
             ("queue", (&**queue).into()),
             ("index", index.into()),
-            ("suspicion", suspicion.into()),
+            ("suspicion", crash.suspicion.into()),
+            ("proven", crash.proven.into()),
             ("verdict", format!("{verdict:?}").as_str().into()),
         ]);
-        match verdict {
-            Verdict::Retry | Verdict::RetryAlone => None,
-            Verdict::Abandon => Some(JobAnswer::Abandoned { reason: MAY_CRASH_SERVERS.into() }),
-            Verdict::Fail => Some(JobAnswer::Failed { reason: CRASHES_SERVERS.into() }),
-        }
+        final_answer(verdict)
     }
 
     /// Whether every agent that takes work has returned a task of this job.
@@ -602,6 +601,15 @@
     }
 }
 
+/// The answer to a job with a task that is not started again.
+fn final_answer(verdict: Verdict) -> Option<JobAnswer> {
+    match verdict {
+        Verdict::Retry | Verdict::RetryAlone => None,
+        Verdict::Abandon => Some(JobAnswer::Abandoned { reason: MAY_CRASH_SERVERS.into() }),
+        Verdict::Fail => Some(JobAnswer::Failed { reason: CRASHES_SERVERS.into() }),
+    }
+}
+
 async fn wait_turn(ticket: Option<&Ticket>) {
     match ticket {
         Some(ticket) => ticket.wait_turn().await,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use agents::Agents;
 pub use backlog::{Backlog, Ticket};
-pub use crash_history::{CrashHistory, CrashSettings, Verdict};
+pub use crash_history::{CrashHistory, CrashSettings, CrashedTask, Verdict};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
 pub use job::{Job, JobAnswer};
--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -58,9 +58,17 @@
     pub reason: Name,
     /// time from the start to the end
     pub run_time: Duration,
-    /// probability that the task crashed the backend server; `None` if it was not
-    /// active in a crash
-    pub suspicion: Option<f64>,
+    /// the crash of the backend server that ended the run
+    pub crash: Option<Crash>,
+}
+
+/// Crash of a backend server, as seen from a run that it ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Crash {
+    /// probability that the run caused it
+    pub suspicion: f64,
+    /// the run had certainly started, and the server certainly crashed
+    pub proven: bool,
 }
 
 /// State of the tasks of a batch.
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use batch::{
-    Batch, BatchKey, BatchLookup, BatchStatus, BatchTask, Ending, Progress, TaskResult,
+    Batch, BatchKey, BatchLookup, BatchStatus, BatchTask, Crash, Ending, Progress, TaskResult,
 };
 pub use class::{CLASSES, Class};
 pub use health::HealthSettings;
--- a/crates/lease/src/run.rs
+++ b/crates/lease/src/run.rs
@@ -2,7 +2,7 @@
 
 use base::Uptime;
 
-use crate::{TaskRef, batch::BatchKey};
+use crate::{Crash, TaskRef, batch::BatchKey};
 
 /// One placed task.
 #[derive(Clone, Debug)]
@@ -16,8 +16,10 @@
     /// when its start was ordered
     pub ordered_at: Uptime,
     pub progress: ProgressTracker,
-    /// probability that it crashed the backend server, once that has crashed
-    pub suspicion: Option<f64>,
+    /// known to have started on the backend server
+    pub has_run: bool,
+    /// the crash of the backend server, once that has crashed
+    pub crash: Option<Crash>,
 }
 
 /// State of a run.
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -4,7 +4,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    AgentLoad, Batch, BatchLookup, BatchTask, CLASSES, Class, ClassStats, Delivery, Effect,
+    AgentLoad, Batch, BatchLookup, BatchTask, CLASSES, Class, ClassStats, Crash, Delivery, Effect,
     EndCause, Ending, HealthSettings, LeaseTimings, Listing, Phase, Progress, RefusalReason,
     Resources, RunEnd, RunKey, RunProgress, SessionId, StartOrder, StartOutcome, StopOrder,
     TaskRef, TaskResult,
@@ -105,8 +105,8 @@
     failed_listings: u32,
     /// when the first of them failed
     silent_since: Option<Uptime>,
-    /// the backend server could not be reached since the last listing
-    is_unreachable: bool,
+    /// nothing has listened at the address of the backend server since the last listing
+    is_gone: bool,
     /// the last listing had no orphan runs; false before the first listing
     no_orphans: bool,
     /// sequence number of the newest end processed
@@ -167,7 +167,7 @@
             pending_leases: Vec::new(),
             failed_listings: 0,
             silent_since: None,
-            is_unreachable: false,
+            is_gone: false,
             no_orphans: false,
             last_acked: 0,
             ended_runs: HashMap::new(),
@@ -413,7 +413,10 @@
             return;
         }
         match outcome {
-            StartOutcome::Accepted => run.state = State::Running(now),
+            StartOutcome::Accepted => {
+                run.state = State::Running(now);
+                run.has_run = true;
+            }
             StartOutcome::Indeterminate => {
                 Event::OrderUnanswered.note(&[
                     ("job", (&*run.task.job).into()),
@@ -453,7 +456,7 @@
         self.failed_listings = 0;
         self.on_incarnation(listing.started_ms, now);
         self.silent_since = None;
-        self.is_unreachable = false;
+        self.is_gone = false;
         self.expire_sessions(now);
         // an answer is held back for at most the renewal interval: one that was read later,
         // because this agent was suspended, is older than it looks
@@ -481,9 +484,10 @@
         self.advance(now);
     }
 
-    /// Handles the failure of a listing whose request could not be sent.
-    pub fn on_unreachable(&mut self, now: Uptime) {
-        self.is_unreachable = true;
+    /// Handles the failure of a listing because nothing listens at the address of the
+    /// backend server.
+    pub fn on_not_listening(&mut self, now: Uptime) {
+        self.is_gone = true;
         self.on_listing_failed(now);
     }
 
@@ -684,11 +688,9 @@
             return;
         }
         let active: Vec<RunKey> = self.active_runs().collect();
-        Event::LeasesExpired.note(&[
-            ("runs", (active.len() as u64).into()),
-            ("unreachable", self.is_unreachable.into()),
-        ]);
-        let reason = if self.is_unreachable {
+        Event::LeasesExpired
+            .note(&[("runs", (active.len() as u64).into()), ("gone", self.is_gone.into())]);
+        let reason = if self.is_gone && !self.is_draining() {
             self.record_crash(&active, now);
             "backend server crashed"
         } else {
@@ -952,6 +954,7 @@
         }
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Queued;
+        run.has_run = false;
         run.progress = ProgressTracker::default();
         let (slot, batch) = ((run.start_deadline, key), run.batch);
         self.push_queued(slot, batch);
@@ -1072,7 +1075,8 @@
             state: State::Queued,
             ordered_at: now,
             progress: ProgressTracker::default(),
-            suspicion: None,
+            has_run: false,
+            crash: None,
         });
         self.run_by_task.insert(task_ref, key);
         self.push_queued((start_deadline, key), batch);
@@ -1094,6 +1098,7 @@
             self.stop_orphan(row);
             return false;
         }
+        run.has_run = true;
         match run.state {
             State::Queued => {
                 self.stop_orphan(row);
@@ -1234,7 +1239,9 @@
         Event::BackendRestarted
             .note(&[("born", started_ms.into()), ("runs", (active.len() as u64).into())]);
         self.effects.push(Effect::RaiseFence);
-        self.record_crash(&active, now);
+        if !self.is_draining() {
+            self.record_crash(&active, now);
+        }
         for key in active {
             // a recent order may have reached the new incarnation, or may yet; it is not
             // repeated here, as it may have caused the crash
@@ -1266,13 +1273,15 @@
         for key in active {
             let Some(run) = self.runs.get_mut(*key) else { continue };
             let suspicion = suspicions.of(&run.task.job);
-            run.suspicion = Some(suspicion);
+            let proven = run.has_run && run.ordered_at <= crashed_at;
+            run.crash = Some(Crash { suspicion, proven });
             Event::RunCrashed.note(&[
                 ("job", (&*run.task.job).into()),
                 ("index", run.task.index.into()),
                 ("run", run.number.into()),
                 ("age_ms", millis(crashed_at.saturating_sub(run.ordered_at)).into()),
                 ("suspicion", suspicion.into()),
+                ("proven", proven.into()),
             ]);
         }
     }
@@ -1292,7 +1301,7 @@
             ending: Ending::NotRun,
             reason: reason.into(),
             run_time: Duration::ZERO,
-            suspicion: None,
+            crash: None,
         };
         self.record_result(key, result, now);
     }
@@ -1322,7 +1331,7 @@
             ending,
             reason: reason.into(),
             run_time,
-            suspicion: run.suspicion,
+            crash: run.crash,
         };
         self.record_result(run.batch, result, now);
     }
--- a/crates/lease/src/suspicions.rs
+++ b/crates/lease/src/suspicions.rs
@@ -2,8 +2,8 @@
 
 use base::Name;
 
-/// Least age of a run, as times are exact to about a millisecond.
-const MIN_AGE: Duration = Duration::from_millis(1);
+/// Runs younger than this are equally likely to have crashed their server.
+const MIN_AGE: Duration = Duration::from_millis(10);
 
 /// Age of a run that is as likely to have crashed its server as the server itself.
 const NEUTRAL_AGE: Duration = Duration::from_millis(100);
--- a/crates/lease/tests/promises.rs
+++ b/crates/lease/tests/promises.rs
@@ -576,7 +576,7 @@
             ending,
             reason: "".into(),
             run_time: Duration::ZERO,
-            suspicion: None,
+            crash: None,
         });
         let started = ending == Ending::Lost && self.without != Without::Lost;
         Progress { results: results.collect(), started, ..Progress::default() }
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -4,7 +4,7 @@
 
 use base::Uptime;
 use lease::{
-    Batch, BatchKey, BatchLookup, BatchTask, CentreState, Class, Delivery, Effect, EndCause,
+    Batch, BatchKey, BatchLookup, BatchTask, CentreState, Class, Crash, Delivery, Effect, EndCause,
     Ending, HealthSettings, LeaseBounds, LeaseTimings, Listing, Phase, RefusalReason, Resources,
     RunEnd, RunProgress, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome,
     StopOrder, TaskRef,
@@ -299,8 +299,9 @@
         s.restart(2);
         assert!(s.starts().is_empty(), "it may have caused the crash");
         assert_eq!(s.endings(key), [Ending::Lost]);
-        let suspicion = s.suspicions(key)[0].expect("it crashed");
-        assert!(suspicion > 0.8, "{suspicion}");
+        let crash = s.crashes(key)[0].expect("it crashed");
+        assert!(crash.suspicion > 0.8, "{crash:?}");
+        assert!(!crash.proven, "it may not have started");
     };
     an_order_left_unanswered_by_a_crash_is_not_repeated_after_it: |mut s| {
         let key = s.place(1, 1, 9000);
@@ -341,8 +342,7 @@
         s.accept_all(&orders);
         s.fail_renewals(100..800, Delivery::Failed);
         assert_eq!(s.scheduler.crashes(), 1);
-        let (old, new) = (s.suspicions(old)[0], s.suspicions(new)[0]);
-        let (old, new) = (old.expect("it crashed"), new.expect("it crashed"));
+        let [old, new] = [old, new].map(|key| s.crashes(key)[0].expect("it crashed").suspicion);
         assert!((old - 1.0 / 12.0).abs() < 0.001, "{old} after 100 ms");
         assert!((new - 10.0 / 12.0).abs() < 0.001, "{new} after 10 ms");
     };
@@ -351,7 +351,8 @@
         let orders = s.starts();
         s.accept_all(&orders);
         s.fail_renewals(100..800, Delivery::Failed);
-        assert_eq!(s.suspicions(key), [Some(0.5); 2], "as likely as the server itself");
+        let crash = Some(Crash { suspicion: 0.5, proven: true });
+        assert_eq!(s.crashes(key), [crash; 2], "as likely as the server itself");
     };
     an_end_of_another_cause_is_no_crash: |mut s| {
         let key = s.place(1, 1, 300);
@@ -359,7 +360,23 @@
         s.accept_all(&orders);
         s.advance_to(50);
         s.end(1, &orders[0], EndCause::Failed);
-        assert_eq!(s.suspicions(key), [None]);
+        assert_eq!(s.crashes(key), [None]);
+    };
+    the_exit_of_a_draining_backend_server_is_no_crash: |mut s| {
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.announce(Phase { draining: true, ..Phase::default() });
+        s.fail_renewals(100..800, Delivery::Failed);
+        assert_eq!(s.endings(key), [Ending::Lost]);
+        assert_eq!(s.crashes(key), [None]);
+    };
+    an_order_that_a_crash_left_unanswered_is_no_proof_that_its_run_started: |mut s| {
+        let key = s.place(1, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, StartOutcome::Indeterminate);
+        s.fail_renewals(10..800, Delivery::Failed);
+        assert!(!s.crashes(key)[0].expect("it may have run").proven);
     };
     an_announcement_of_an_earlier_incarnation_is_ignored: |mut s| {
         let key = s.place(1, 1, 300);
@@ -966,14 +983,14 @@
             self.scheduler.settle_lease(lease, delivery);
             match delivery {
                 Delivery::Possible => self.scheduler.on_listing_failed(self.now),
-                Delivery::Failed => self.scheduler.on_unreachable(self.now),
+                Delivery::Failed => self.scheduler.on_not_listening(self.now),
             }
         }
     }
 
-    fn suspicions(&mut self, key: BatchKey) -> Vec<Option<f64>> {
+    fn crashes(&mut self, key: BatchKey) -> Vec<Option<Crash>> {
         let progress = self.scheduler.progress(key, 0, self.now);
-        progress.map(|p| p.results.iter().map(|s| s.suspicion).collect()).unwrap_or_default()
+        progress.map(|p| p.results.iter().map(|s| s.crash).collect()).unwrap_or_default()
     }
 
     fn endings(&mut self, key: BatchKey) -> Vec<Ending> {
--- a/crates/runner/src/backend.rs
+++ b/crates/runner/src/backend.rs
@@ -13,6 +13,9 @@
     /// nothing was sent
     #[error("backend server can't be reached: {0}")]
     Unreachable(String),
+    /// nothing was sent, as nothing listens at its address
+    #[error("backend server does not listen: {0}")]
+    NotListening(String),
     /// the call may have taken effect, or may still do so
     #[error("backend server gave no answer: {0}")]
     Indeterminate(String),
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -414,7 +414,7 @@
                 // refuse the earlier orders even before the restart is known
                 self.raise_fence();
                 self.with_scheduler(|scheduler, now| match e {
-                    Error::Unreachable(_) => scheduler.on_unreachable(now),
+                    Error::NotListening(_) => scheduler.on_not_listening(now),
                     _ => scheduler.on_listing_failed(now),
                 });
                 false
@@ -457,7 +457,9 @@
                 }
                 StartOutcome::Rejected(reason)
             }
-            Err(Error::Unreachable(_)) => StartOutcome::Rejected(RefusalReason::Busy),
+            Err(Error::Unreachable(_) | Error::NotListening(_)) => {
+                StartOutcome::Rejected(RefusalReason::Busy)
+            }
             Err(Error::Indeterminate(_)) => StartOutcome::Indeterminate,
         };
         self.with_scheduler(|scheduler, now| scheduler.on_start_outcome(key, outcome, now));
@@ -558,7 +560,7 @@
 /// Whether a call with this outcome may have reached the backend server.
 fn delivery<T>(outcome: &crate::Result<T>) -> Delivery {
     match outcome {
-        Err(Error::Unreachable(_)) => Delivery::Failed,
+        Err(Error::Unreachable(_) | Error::NotListening(_)) => Delivery::Failed,
         _ => Delivery::Possible,
     }
 }
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -276,6 +276,7 @@
   ranUs @4 :UInt64;
   crashed @5 :Bool;      # it ran when its backend server crashed
   suspicion @6 :Float32; # probability that it caused the crash
+  proven @7 :Bool;       # whether it certainly ran, and the server certainly crashed
 }
 
 # Where the tasks of a batch stand.
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -15527,6 +15527,10 @@
         pub fn get_suspicion(self) -> f32 {
             self.reader.get_data_field::<f32>(3)
         }
+        #[inline]
+        pub fn get_proven(self) -> bool {
+            self.reader.get_bool_field(81)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -15645,6 +15649,14 @@
         pub fn set_suspicion(&mut self, value: f32)  {
             self.builder.set_data_field::<f32>(3, value);
         }
+        #[inline]
+        pub fn get_proven(self) -> bool {
+            self.builder.get_bool_field(81)
+        }
+        #[inline]
+        pub fn set_proven(&mut self, value: bool)  {
+            self.builder.set_bool_field(81, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -15656,7 +15668,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(72, 231, 234, 6, 28, 176, 145, 133),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
@@ -15666,63 +15678,70 @@
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 83, 101, 116, 116),
             ::capnp::word(108, 101, 100, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 80, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 81, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -15780,6 +15799,14 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 118, 101, 110, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15790,6 +15817,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15803,9 +15831,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,3,1,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,7,4,3,1,6];
         pub(crate) const TYPE_ID: u64 = 0x8591_b01c_06ea_e748;
     }
 }
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -4,7 +4,7 @@
 use capnp::primitive_list;
 use drain::{DrainedCentre, Drains};
 use lease::{
-    AgentLoad, Batch, BatchStatus, BatchTask, CLASSES, Class, Ending, Progress, Resources,
+    AgentLoad, Batch, BatchStatus, BatchTask, CLASSES, Class, Crash, Ending, Progress, Resources,
     TaskResult,
 };
 
@@ -211,9 +211,10 @@
     });
     to.set_reason(&*it.reason);
     to.set_ran_us(micros(it.run_time));
-    if let Some(suspicion) = it.suspicion {
+    if let Some(crash) = it.crash {
         to.set_crashed(true);
-        to.set_suspicion(suspicion as f32);
+        to.set_suspicion(crash.suspicion as f32);
+        to.set_proven(crash.proven);
     }
 }
 
@@ -230,7 +231,9 @@
         ending,
         reason: read_name(from.get_reason())?,
         run_time: Duration::from_micros(from.get_ran_us()),
-        suspicion: from.get_crashed().then(|| from.get_suspicion().into()),
+        crash: from
+            .get_crashed()
+            .then(|| Crash { suspicion: from.get_suspicion().into(), proven: from.get_proven() }),
     })
 }
 
