lease: queued tasks are returned at once when the capacity shrinks below them

A backend server may announce less capacity while it runs. A queued task that needed more than all of what was left waited until its latest start, at the head of the queue, and kept smaller ones behind it from starting.

Cause: the size of a task was compared with the capacity only when the task arrived. It is now compared again with each announcement.

--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -60,6 +60,8 @@
 /// The least that any run is expected to go on for.
 const MIN_REST: Duration = Duration::from_millis(1);
 
+/// Reason of what is returned because it can never start.
+const OVERSIZED: &str = "larger than the backend server";
 /// Reason of what is returned because of a drain.
 const CENTRE_DRAINED: &str = "data centre is drained";
 /// Multiple of these times on a cold backend server, whose runs are slower at first.
@@ -201,6 +203,7 @@
             ]);
             self.return_queued("backend server leaves", now);
         }
+        self.return_oversized(capacity, now);
         self.advance(now);
     }
 
@@ -1020,7 +1023,7 @@
         }
         let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
         if !batch.resources.fits(capacity) {
-            return Some("larger than the backend server");
+            return Some(OVERSIZED);
         }
         if self.queue.len() >= self.settings.max_queued {
             return Some("queue is full");
@@ -1217,6 +1220,17 @@
         }
     }
 
+    /// Returns queued tasks that need more than the whole capacity, which may shrink.
+    fn return_oversized(&mut self, capacity: Resources, now: Uptime) {
+        let needs = |slot: &Slot| self.runs.get(slot.1).map(|run| self.resources_of(run));
+        let is_oversized = |slot: &Slot| needs(slot).is_some_and(|needed| !needed.fits(capacity));
+        let oversized: Vec<Slot> = self.queue.iter().filter(is_oversized).collect();
+        for slot in oversized {
+            self.queue.remove(slot);
+            self.end_run(slot.1, Ending::NotRun, OVERSIZED, now);
+        }
+    }
+
     /// Returns all queued tasks to their entries.
     fn return_queued(&mut self, reason: &str, now: Uptime) {
         for (_, key) in self.queue.take_all() {
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -64,6 +64,22 @@
         let key = s.place_with(1, 1, 300, Resources { cpu: CORES + 1, ..Resources::default() });
         assert_eq!(s.endings(key), [Ending::NotRun]);
     };
+    a_queued_task_is_returned_at_once_when_the_capacity_shrinks_below_it: |mut s| {
+        let running = s.place(1, 2, 5000);
+        let first = s.starts();
+        s.accept_all(&first);
+        let [large, small] = [CORES, CORES / 4].map(|cpu| Resources { cpu, ..Resources::default() });
+        let large = s.place_with(2, 1, 5000, large);
+        let small = s.place_with(3, 1, 5000, small);
+        s.shrink_to(CORES / 2);
+        assert_eq!(s.endings(large), [Ending::NotRun]);
+        assert!(s.endings(running).is_empty(), "what runs goes on");
+        s.end(1, &first[0], EndCause::Done);
+        assert!(s.starts().is_empty(), "the other run fills the capacity that is left");
+        s.end(2, &first[1], EndCause::Done);
+        assert_eq!(s.starts().len(), 1, "the smaller one is not kept waiting by it");
+        assert!(s.endings(small).is_empty());
+    };
     an_expired_session_stops_its_runs: |mut s| {
         s.place(1, 2, 300);
         let first = s.starts();
@@ -830,6 +846,11 @@
         self.scheduler.on_announcement(1, capacity, phase, self.now);
     }
 
+    fn shrink_to(&mut self, cpu: u32) {
+        let capacity = Resources { cpu, ..Resources::default() };
+        self.scheduler.on_announcement(1, capacity, false, self.now);
+    }
+
     fn extend_session(&mut self) {
         if self.is_connected {
             self.scheduler.extend_session(ENTRY, &"entry".into(), self.now, self.now);
