lease: the simulation has backend servers that refuse connections or lose answers while they run on

Which renewals extend a lease decides when a task may run again, so the simulation of sessions and leases now cuts an agent off from a backend server that goes on running: connections are refused, or calls are carried out and their answers lost. No task runs twice at a time in 400 schedules; an agent that takes an unanswered renewal for an undelivered one is found.

--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -10,7 +10,7 @@
 
 use base::Uptime;
 use lease::{
-    Batch, BatchKey, BatchTask, CLASSES, CentreState, Class, Effect, EndCause, Ending,
+    Batch, BatchKey, BatchTask, CLASSES, CentreState, Class, Delivery, Effect, EndCause, Ending,
     HealthSettings, LeaseBounds, LeaseTimings, Listing, RefusalReason, Resources, RunEnd,
     RunProgress, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
     TaskRef,
@@ -45,6 +45,17 @@
     Fence,
     /// an agent doesn't apply the drain of its data centre
     Drain,
+    /// a renewal without an answer counts as not delivered
+    Delivery,
+}
+
+/// How a backend server that goes on running is out of reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outage {
+    /// connections are refused
+    Refused,
+    /// calls are carried out, and their answers are lost
+    Silent,
 }
 
 #[derive(Default)]
@@ -180,6 +191,8 @@
     frozen_until: Uptime,
     last_listing: Uptime,
     centre: CentreState,
+    /// with its end
+    outage: Option<(Outage, Uptime)>,
 }
 
 /// An entry with one job, until it is killed.
@@ -207,6 +220,8 @@
     disconnected_until: [Uptime; AGENTS],
     /// draws the drains, so that schedules without them stay as they are
     drain_rng: Option<StdRng>,
+    /// draws the outages of backend servers, likewise
+    outage_rng: Option<StdRng>,
     /// a start was sent in a drained data centre
     started_drained: bool,
 }
@@ -240,6 +255,7 @@
                 frozen_until: now,
                 last_listing: now,
                 centre: CentreState::default(),
+                outage: None,
             }
         });
         Self {
@@ -253,6 +269,7 @@
             resend_at: None,
             disconnected_until: [now; AGENTS],
             drain_rng: None,
+            outage_rng: None,
             started_drained: false,
         }
     }
@@ -262,6 +279,11 @@
         Self { drain_rng: Some(StdRng::seed_from_u64(!seed)), ..Self::new(seed, without) }
     }
 
+    /// A world in which backend servers are out of reach now and then.
+    fn with_outages(seed: u64, without: Without) -> Self {
+        Self { outage_rng: Some(StdRng::seed_from_u64(!seed)), ..Self::new(seed, without) }
+    }
+
     /// Whether no task ever ran twice at a time, and none was started in a drained
     /// data centre.
     fn holds(mut self) -> bool {
@@ -301,6 +323,7 @@
             }
             _ => {}
         }
+        self.draw_outage();
         let Some(rng) = &mut self.drain_rng else { return };
         if rng.random_range(0..100) == 0 {
             let agent = rng.random_range(0..AGENTS);
@@ -308,6 +331,24 @@
         }
     }
 
+    fn draw_outage(&mut self) {
+        let Some(rng) = &mut self.outage_rng else { return };
+        if rng.random_range(0..80) != 0 {
+            return;
+        }
+        let outage = if rng.random_bool(0.5) { Outage::Refused } else { Outage::Silent };
+        let span = Duration::from_millis(rng.random_range(100..2500));
+        self.agents[rng.random_range(0..AGENTS)].outage = Some((outage, self.now + span));
+    }
+
+    /// How calls of an agent fare that aren't answered.
+    fn unanswered(&self) -> Delivery {
+        match self.without {
+            Without::Delivery => Delivery::Failed,
+            _ => Delivery::Possible,
+        }
+    }
+
     /// Drains the data centre of an agent, or takes the drain back. Orders given
     /// before are sent afterwards.
     fn toggle_drain(&mut self, i: usize) {
@@ -336,18 +377,35 @@
             self.agents[i].scheduler.extend_session(self.entry.id, &"entry".into(), now, now);
             self.entry.last_contact[i] = now;
         }
+        let unanswered = self.unanswered();
         let agent = &mut self.agents[i];
         agent.scheduler.tick(now);
         if agent.last_listing + LISTING_INTERVAL <= now {
             agent.last_listing = now;
-            agent.backend.fence = agent.backend.fence.max(agent.fence);
-            if let Some(lease_end) = agent.scheduler.renew_lease(now) {
-                agent.backend.extend(lease_end, now);
+            let lease = agent.scheduler.renew_lease(now);
+            let outage = agent.outage(now);
+            let is_answered = self.rng.random_bool(0.9) && outage.is_none();
+            if outage != Some(Outage::Refused) {
+                agent.backend.fence = agent.backend.fence.max(agent.fence);
+                if let Some(lease_end) = lease {
+                    agent.backend.extend(lease_end, now);
+                }
             }
-            if self.rng.random_bool(0.9) {
+            let delivery = match outage {
+                Some(Outage::Refused) => Delivery::Failed,
+                _ if is_answered => Delivery::Possible,
+                _ => unanswered,
+            };
+            if let Some(lease_end) = lease {
+                agent.scheduler.settle_lease(lease_end, delivery);
+            }
+            if is_answered {
                 agent.scheduler.on_listing(&agent.backend.listing(now), now);
             } else {
-                agent.scheduler.on_listing_failed(now);
+                match outage {
+                    Some(Outage::Refused) => agent.scheduler.on_not_listening(now),
+                    _ => agent.scheduler.on_listing_failed(now),
+                }
                 agent.fence += 1;
             }
         }
@@ -361,8 +419,18 @@
         let fault = self.rng.random_range(0..20);
         let arrives_at = now + Duration::from_millis(self.rng.random_range(600..4000));
         let without = self.without;
+        let unanswered = self.unanswered();
+        let outage = self.agents[i].outage(now);
         let Agent { scheduler, backend, frozen_until, fence, centre, .. } = &mut self.agents[i];
         match effect {
+            Effect::Start(order) if outage == Some(Outage::Refused) => {
+                if let Some(lease_end) = scheduler.lease_for_start(order.key, now) {
+                    scheduler.settle_lease(lease_end, Delivery::Failed);
+                }
+                let refused = StartOutcome::Rejected(RefusalReason::Busy);
+                scheduler.on_start_outcome(order.key, refused, now);
+            }
+            Effect::Stop(_) | Effect::RefreshListing if outage == Some(Outage::Refused) => {}
             Effect::Start(order) => {
                 let Some(lease_end) = scheduler.lease_for_start(order.key, now) else {
                     return scheduler.on_start_outcome(
@@ -372,6 +440,7 @@
                     );
                 };
                 self.started_drained |= *centre == CentreState::Drained;
+                let settled = lease_end;
                 let lease_end = match without {
                     Without::OrderDeadline => now + Duration::from_secs(60),
                     _ => lease_end,
@@ -397,25 +466,40 @@
                         backend.start(&order, lease_end, *fence, now);
                         StartOutcome::Indeterminate
                     }
+                    _ if outage.is_some() => {
+                        backend.start(&order, lease_end, *fence, now);
+                        StartOutcome::Indeterminate
+                    }
                     _ => backend.start(&order, lease_end, *fence, now),
                 };
+                let delivery = match outcome {
+                    StartOutcome::Indeterminate => unanswered,
+                    _ => Delivery::Possible,
+                };
+                scheduler.settle_lease(settled, delivery);
                 scheduler.on_start_outcome(order.key, outcome, now);
             }
             Effect::Stop(order) => {
                 if fault > 2 {
                     backend.fence = backend.fence.max(*fence);
                     backend.stop(&order);
+                }
+                if fault > 2 && outage.is_none() {
                     scheduler.on_stop_confirmed(&order, now);
                 }
             }
             Effect::RefreshListing => {
                 backend.fence = backend.fence.max(*fence);
-                scheduler.on_listing(&backend.listing(now), now);
+                if outage.is_none() {
+                    scheduler.on_listing(&backend.listing(now), now);
+                }
             }
             // sent at once; an incarnation that wasn't called can't reject old orders
             Effect::RaiseFence => {
                 *fence += 1;
-                backend.fence = backend.fence.max(*fence);
+                if outage != Some(Outage::Refused) {
+                    backend.fence = backend.fence.max(*fence);
+                }
             }
             Effect::Reply(_) => {}
         }
@@ -487,6 +571,12 @@
     }
 }
 
+impl Agent {
+    fn outage(&self, now: Uptime) -> Option<Outage> {
+        self.outage.filter(|(_, until)| *until > now).map(|(outage, _)| outage)
+    }
+}
+
 impl Entry {
     fn new(id: u64, now: Uptime) -> Self {
         let last_contact = [now; AGENTS];
@@ -524,11 +614,19 @@
     }
 }
 
+#[test]
+fn no_task_runs_twice_at_a_time_while_backend_servers_are_out_of_reach() {
+    for seed in 0..seeds(400) {
+        assert!(World::with_outages(seed, Without::Nothing).holds(), "seed {seed}");
+    }
+}
+
 macro_rules! needed {
     ($($name:ident: $rule:ident;)*) => {
         $(#[test] fn $name() {
             let world = match Without::$rule {
                 Without::Drain => World::with_drains,
+                Without::Delivery => World::with_outages,
                 _ => World::new,
             };
             let broken = (0..MUTANT_SEEDS).find(|s| !world(*s, Without::$rule).holds());
@@ -544,6 +642,7 @@
     the_lease_of_a_backend_server_is_needed: Lease;
     the_fencing_of_a_restart_is_needed: Fence;
     the_drain_of_an_agent_is_needed: Drain;
+    the_doubt_about_an_unanswered_renewal_is_needed: Delivery;
 }
 
 /// Number of schedules to try, unless set by `EGRET_SEEDS`.
