topology, dispatch: suspects of a crash are retried on one agent in eight only

Cause: entries limit retries by what they saw themselves, and don't share it.

The agents that may run a suspect again are now selected by their names alone, one in eight, so all entries choose the same few. While those are down no suspect is retried anywhere: its caller gets 504 at once. Bystanders run again anywhere, as before.

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -5,6 +5,7 @@
 use lease::{Batch, BatchTask, Crash, Ending, Progress, TaskResult};
 use placement::{AgentView, Ahead, Demand, Objective, Plan, Shape, Stage, Turn, Waiter};
 use tokio::time::sleep;
+use topology::retry_set;
 
 use crate::{
     Job, JobAnswer, JobDispatcher,
@@ -55,6 +56,8 @@
     /// agents where a task of this job failed, was lost or did not run; they get no
     /// more of its tasks while another agent is ready
     avoided: Vec<Name>,
+    /// agents whose backend server crashed with tasks of this job
+    crashed: Vec<Name>,
     /// no placement before this
     next_offer: Uptime,
     /// number of tasks sent to each agent
@@ -95,6 +98,7 @@
             tasks: vec![Task::Unplaced(1); count],
             failures: vec![0; count],
             avoided: Vec::new(),
+            crashed: Vec::new(),
             next_offer: Uptime::ZERO,
             sent: HashMap::new(),
             placed: Vec::new(),
@@ -151,6 +155,9 @@
             if useful_time < self.job.estimate && self.is_untouched() {
                 return self.refuse();
             }
+            if self.has_no_retry_agent() {
+                return self.abandon(MAY_CRASH_SERVERS);
+            }
             let unplaced = self.place(&mut calls);
             if unplaced == 0 {
                 self.ticket = None;
@@ -198,9 +205,9 @@
                 _ => None,
             })
             .collect();
-        let is_suspect = self.dispatcher.crashes().is_suspect(&self.job.id);
+        let is_suspect = self.is_suspect();
         if is_suspect {
-            if self.placed.iter().any(|(_, number)| Some(*number) == self.alone) {
+            if self.runs_alone() {
                 return 0;
             }
             unplaced.truncate(1);
@@ -209,7 +216,7 @@
             return 0;
         }
         let demand = self.demand(unplaced.len());
-        let agents = self.usable_agents();
+        let agents = if is_suspect { self.retry_agents() } else { self.usable_agents() };
         if self.all_returned(&agents) {
             self.avoided.clear();
             self.next_offer = uptime() + OFFER_INTERVAL;
@@ -442,7 +449,8 @@
 
     /// Records a crash in which a task was active; returns the answer if the task is not
     /// started again.
-    fn on_crash(&self, index: u32, agent: &Name, crash: Crash) -> Option<JobAnswer> {
+    fn on_crash(&mut self, index: u32, agent: &Name, crash: Crash) -> Option<JobAnswer> {
+        self.crashed.push(agent.clone());
         let (job, queue) = (&self.job.id, &self.job.queue);
         let task = CrashedTask { job, queue, index, agent };
         let verdict = self.dispatcher.crashes().record(task, crash, uptime());
@@ -463,6 +471,30 @@
         !self.avoided.is_empty() && agents.iter().all(|a| is_avoided(a) || !a.load().ready)
     }
 
+    /// Whether tasks of this job may have crashed a backend server.
+    fn is_suspect(&self) -> bool {
+        self.dispatcher.crashes().is_suspect(&self.job.id)
+    }
+
+    /// Whether the only task that may run while this job is a suspect does so.
+    fn runs_alone(&self) -> bool {
+        self.placed.iter().any(|(_, number)| Some(*number) == self.alone)
+    }
+
+    /// Agents that may run a task of a suspect.
+    fn retry_agents(&self) -> Vec<Rc<Agent>> {
+        let mut agents = self.usable_agents();
+        agents.retain(|a| !self.crashed.contains(&a.name));
+        retry_set(agents, |a| &a.name)
+    }
+
+    /// Whether this job is a suspect, and its next task can't run soon.
+    fn has_no_retry_agent(&self) -> bool {
+        self.is_suspect()
+            && !self.runs_alone()
+            && !self.retry_agents().iter().any(|a| a.load().ready)
+    }
+
     /// Views of the agents for the placer.
     fn agent_views(&self, agents: &[Rc<Agent>]) -> Vec<AgentView> {
         let views = agents.iter().map(|a| AgentView {
--- a/crates/topology/src/lib.rs
+++ b/crates/topology/src/lib.rs
@@ -11,9 +11,11 @@
 //! that will keep them.
 
 mod rank;
+mod retry_set;
 mod schedule;
 mod selector;
 
 pub use rank::{Rank, digest, rank};
+pub use retry_set::retry_set;
 pub use schedule::{ScheduleSettings, VisitSchedule};
 pub use selector::{AgentSelector, Candidate, SelectorSettings};
