dispatch: a suspect is retried on the server that crashed if there is no other

A suspect is given up for want of an agent only while others that must not run it take work; if nobody does, it waits like any job.

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -481,18 +481,21 @@
         self.placed.iter().any(|(_, number)| Some(*number) == self.alone)
     }
 
-    /// Agents that may run a task of a suspect.
+    /// Agents that may run a task of a suspect: other than those of its crashes, if there
+    /// are any.
     fn retry_agents(&self) -> Vec<Rc<Agent>> {
-        let mut agents = self.usable_agents();
-        agents.retain(|a| !self.crashed.contains(&a.name));
-        retry_set(agents, |a| &a.name)
+        let (others, crashed): (Vec<_>, Vec<_>) =
+            self.usable_agents().into_iter().partition(|a| !self.crashed.contains(&a.name));
+        retry_set(if others.is_empty() { crashed } else { others }, |a| &a.name)
     }
 
-    /// Whether this job is a suspect, and its next task can't run soon.
+    /// Whether this job is a suspect, and only agents that must not run its tasks take work.
     fn has_no_retry_agent(&self) -> bool {
+        let is_ready = |agents: Vec<Rc<Agent>>| agents.iter().any(|a| a.load().ready);
         self.is_suspect()
             && !self.runs_alone()
-            && !self.retry_agents().iter().any(|a| a.load().ready)
+            && !is_ready(self.retry_agents())
+            && is_ready(self.usable_agents())
     }
 
     /// Views of the agents for the placer.
