daemon: the limit on slow request heads exceeds any suspension

Callers got 408 without a body, not counted by us, for requests that were sent as a whole to an entry that stood still for 5 s or more: the default limit of the HTTP server on the head of a request goes on while the process is suspended, and is checked before the socket is read. The limit is now 30 s at all HTTP servers, more than callers wait; a client that sends half a head is still disconnected.

--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -7,7 +7,7 @@
     web::{Data, Json, get, post},
 };
 use conf::{AgentSettings, CurrentFleet};
-use daemon::{Error, Result};
+use daemon::{Error, HEAD_TIMEOUT, Result};
 
 use crate::{
     metrics::{self, Labels},
@@ -42,6 +42,7 @@
     let server = server
         .workers(1)
         .disable_signals()
+        .client_request_timeout(HEAD_TIMEOUT)
         .listen(listener)
         .map_err(|why| Error::Listen { address, why })?
         .run();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use args::Args;
 pub use link_metrics::LinkMetrics;
-pub use listen::{listen, listen_http};
+pub use listen::{HEAD_TIMEOUT, listen, listen_http};
 pub use page::metrics_page;
 pub use reload::watch_settings;
 pub use run::{run, run_with_path};
--- a/crates/entry/src/http/server.rs
+++ b/crates/entry/src/http/server.rs
@@ -6,7 +6,7 @@
     middleware::from_fn,
     web::{Data, PayloadConfig, get, post, resource},
 };
-use daemon::{Error, Result};
+use daemon::{Error, HEAD_TIMEOUT, Result};
 
 use super::{admin, health, job, key, refusal::render_refusals, request};
 use crate::{app::SharedState, call::Dispatcher};
@@ -42,6 +42,7 @@
     let server = server
         .workers(threads)
         .disable_signals()
+        .client_request_timeout(HEAD_TIMEOUT)
         .shutdown_timeout(SHUTDOWN_SECONDS)
         .listen(listener)
         .map_err(|why| Error::Listen { address, why })?
