lease, dispatch: small things noted after the review of crashes

A closure called once, weights summed anew for each run, leases looked through twice and an agent listed more than once under a job.

--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -450,7 +450,9 @@
     /// Records a crash in which a task was active; returns the answer if the task is not
     /// started again.
     fn on_crash(&mut self, index: u32, agent: &Name, crash: Crash) -> Option<JobAnswer> {
-        self.crashed.push(agent.clone());
+        if !self.crashed.contains(agent) {
+            self.crashed.push(agent.clone());
+        }
         let (job, queue) = (&self.job.id, &self.job.queue);
         let task = CrashedTask { job, queue, index, agent };
         let verdict = self.dispatcher.crashes().record(task, crash, uptime());
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -634,13 +634,8 @@
         let LeaseTimings { session_ttl, lease_ttl, .. } = self.settings.timings;
         let lease_end = (last_seen + session_ttl).min(now + lease_ttl);
         // those without an outcome by their end count as given
-        let leased_until = &mut self.leased_until;
-        self.pending_leases.retain(|end| {
-            if *end < now {
-                *leased_until = (*leased_until).max(*end);
-            }
-            *end >= now
-        });
+        let ended = self.pending_leases.extract_if(.., |end| *end < now);
+        self.leased_until = ended.fold(self.leased_until, Uptime::max);
         self.pending_leases.push(lease_end);
         lease_end
     }
@@ -1279,10 +1274,9 @@
         }
         self.crashes += 1;
         let crashed_at = self.silent_since.unwrap_or(now);
-        let runs = || active.iter().filter_map(|key| self.runs.get(*key));
+        let runs = active.iter().filter_map(|key| self.runs.get(*key));
         // those ordered later can't have caused it
-        let ages =
-            runs().filter_map(|r| Some((&r.task.job, crashed_at.checked_sub(r.ordered_at)?)));
+        let ages = runs.filter_map(|r| Some((&r.task.job, crashed_at.checked_sub(r.ordered_at)?)));
         let suspicions = Suspicions::new(ages);
         for key in active {
             let Some(run) = self.runs.get_mut(*key) else { continue };
--- a/crates/lease/src/suspicions.rs
+++ b/crates/lease/src/suspicions.rs
@@ -16,6 +16,8 @@
 /// newest run counts. The server may also have crashed by itself.
 pub(crate) struct Suspicions {
     weights: HashMap<Name, f64>,
+    /// sum of the weights, and of the server itself
+    total: f64,
 }
 
 impl Suspicions {
@@ -26,12 +28,12 @@
             let known = weights.entry(job.clone()).or_default();
             *known = known.max(weight(age));
         }
-        Self { weights }
+        let total = weight(NEUTRAL_AGE) + weights.values().sum::<f64>();
+        Self { weights, total }
     }
 
     pub fn of(&self, job: &Name) -> f64 {
-        let total = weight(NEUTRAL_AGE) + self.weights.values().sum::<f64>();
-        self.weights.get(job).map_or(0.0, |weight| weight / total)
+        self.weights.get(job).map_or(0.0, |weight| weight / self.total)
     }
 }
 
