--- a/crates/daemon/src/listen.rs
+++ b/crates/daemon/src/listen.rs
@@ -8,8 +8,8 @@
 use crate::{Error, Result};
 
 /// Time in which a client must send the head of a request; a slower one is
-/// disconnected. The time goes on while the process is suspended, so it exceeds
-/// any wait for an answer: a request that was sent meanwhile must be answered.
+/// disconnected. The time goes on while the process is suspended, so it is far
+/// longer than callers of urgent work wait: one that still waits gets its answer.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Binds the port for peers.
