--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -65,6 +65,23 @@
         self.status_number("voluntary_ctxt_switches:")
     }
 
+    /// Processor time that its threads have used so far.
+    pub fn processor_time(&self) -> Duration {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let of_thread = |thread: PathBuf| -> u64 {
+            // the thread may have ended meanwhile
+            let stat = fs::read_to_string(thread.join("schedstat")).unwrap_or_default();
+            stat.split(' ').next().and_then(|ns| ns.parse().ok()).unwrap_or_default()
+        };
+        let threads = threads.expect("process is there").flatten();
+        Duration::from_nanos(threads.map(|t| of_thread(t.path())).sum())
+    }
+
+    /// For a profiler started by hand.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn status_number(&self, field: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).expect("process is there");
