--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -70,6 +70,8 @@
     TaskReturned = 806 Info "task returned by an agent without success"
     CallerDisconnected = 807 Info "caller disconnected before the answer"
     TaskCrashed = 808 Warn "backend server of a task crashed"
+    QueueConfined = 840 Warn "queue confined to few agents: its jobs crash backend servers"
+    QueueReleased = 841 Info "queue no longer confined"
     BatchQueued = 810 Info "batch of tasks queued for the backend server"
     TaskEnded = 811 Info "task ended"
     OrderUnanswered = 812 Warn "no answer to a start order"
--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -132,6 +132,7 @@
             Subcommand::Racks { format } => queries::racks(entry, format).await,
             Subcommand::Drained { format } => queries::drained(entry, format).await,
             Subcommand::Backlog { format } => queries::backlog(entry, format).await,
+            Subcommand::Confined { format } => queries::confined(entry, format).await,
             Subcommand::Entries { format } => queries::entries(fleet, entry, format).await,
             Subcommand::Burn { html, format } => {
                 queries::burn(fleet, html.as_deref(), format).await
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -18,7 +18,7 @@
     #[bpaf(long, argument("URL"), env("EGRET_ENTRY"), fallback("http://127.0.0.1:7100".to_owned()))]
     pub entry: String,
     /// fleet token, for `agents`, `entries`, `leased`, `jobs`, `racks`, `drained`, `backlog`,
-    /// `drain` and `undrain`
+    /// `confined`, `drain` and `undrain`
     #[bpaf(long, argument("TOKEN"), env("EGRET_TOKEN"), fallback(String::new()), hide_usage)]
     pub token: String,
     /// author recorded with a change; required for exceptions and confirmed losses
@@ -261,6 +261,16 @@
         #[bpaf(external)]
         format: Format,
     },
+    /// List the queues that an entry confines to few agents, because their jobs crash backend
+    /// servers
+    ///
+    /// `--entry` takes the metrics address of the entry.
+    /// Example: egretctl --entry http://127.0.0.1:7102 --token T confined
+    #[bpaf(command("confined"))]
+    Confined {
+        #[bpaf(external)]
+        format: Format,
+    },
     /// List the entries and the state that each reports
     #[bpaf(command("entries"))]
     Entries {
--- a/crates/ctl/src/queries/mod.rs
+++ b/crates/ctl/src/queries/mod.rs
@@ -19,7 +19,7 @@
 pub use exceptions::exceptions;
 pub use format::{Format, format};
 pub use history::history;
-pub use report::{AgentFilter, agent_filter, backlog, drained, jobs, leased, racks};
+pub use report::{AgentFilter, agent_filter, backlog, confined, drained, jobs, leased, racks};
 pub use roster::roster;
 pub use services::services;
 pub use status::status;
--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -22,6 +22,9 @@
     /// absent in reports of earlier versions
     #[serde(default)]
     backlog: Vec<ClassBacklog>,
+    /// absent in reports of earlier versions
+    #[serde(default)]
+    confined: Vec<ConfinedQueue>,
 }
 
 /// A rack and its pressure at the entry.
@@ -54,6 +57,19 @@
     longest_wait_ms: u64,
 }
 
+/// A queue on few agents, because its jobs crash backend servers.
+#[derive(Serialize, Deserialize)]
+struct ConfinedQueue {
+    service: String,
+    queue: String,
+    since_ms: u64,
+    crashes: usize,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct ConfinedQueues(Vec<ConfinedQueue>);
+
 #[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 struct Backlog(Vec<ClassBacklog>);
@@ -180,6 +196,18 @@
     }
 }
 
+impl Rows for ConfinedQueues {
+    const TITLES: &'static [&'static str] = &["SERVICE", "QUEUE", "AGE_MS", "CRASHES"];
+
+    fn rows(&self) -> Vec<Vec<String>> {
+        let row = |q: &ConfinedQueue| {
+            let numbers = [q.since_ms.to_string(), q.crashes.to_string()];
+            [q.service.clone(), q.queue.clone()].into_iter().chain(numbers).collect()
+        };
+        self.0.iter().map(row).collect()
+    }
+}
+
 /// Which leased agents are listed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AgentFilter {
@@ -227,6 +255,11 @@
     format.print(&Drains(fetch_report(entry).await?.drains))
 }
 
+/// Lists the queues that an entry confines to few agents, and the crashes there since.
+pub async fn confined(entry: &Entry, format: Format) -> Result<()> {
+    format.print(&ConfinedQueues(fetch_report(entry).await?.confined))
+}
+
 async fn fetch_report(entry: &Entry) -> Result<Report> {
     entry.get("/admin/report").await?.json()
 }
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -36,6 +36,8 @@
     load: Cell<AgentLoad>,
     /// version of the configuration in force there
     version: Cell<u64>,
+    /// number of the newest crash of its backend server
+    last_crash: Cell<u64>,
     /// resources of the tasks of each class sent since the load was reported
     unreported: Cell<[Resources; CLASSES]>,
     /// notified of each heartbeat and of a replaced link
@@ -66,6 +68,7 @@
             unreachable: Cell::default(),
             load: Cell::new(hello.load),
             version: Cell::new(hello.config_version),
+            last_crash: Cell::default(),
             unreported: Cell::default(),
             changed: Notify::new(),
         }
@@ -96,6 +99,11 @@
         self.unreported.set(Default::default());
     }
 
+    /// Whether a reported crash is a new one.
+    pub fn note_crash(&self, number: u64) -> bool {
+        self.last_crash.replace(number.max(self.last_crash.get())) < number
+    }
+
     /// Status for operators.
     pub fn report(&self) -> AgentReport {
         let load = self.load();
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -4,15 +4,22 @@
 
 use base::{Event, Name, Uptime, uptime};
 use drain::{CurrentDrains, DrainedCentre};
+use lease::CrashReport;
 use placement::ClassBacklog;
-use topology::{AgentSelector, Candidate, SelectorSettings, rank};
+use topology::{AgentSelector, Candidate, SelectorSettings, first_by_hash, rank};
 use wire::{Hello, egret_capnp::worker};
 
-use crate::{AgentReport, BacklogReport, DrainReport, Job, agent::Agent, backlog::Backlog};
+use crate::{
+    AgentReport, BacklogReport, ConfinedQueue, Confinement, CrashSite, DrainReport, Job,
+    agent::Agent, backlog::Backlog,
+};
 
 /// Time without a heartbeat after which an agent is forgotten; its machine is gone.
 const AGENT_RETENTION: Duration = Duration::from_secs(60);
 
+/// One of so many agents takes the jobs of confined queues, and no others.
+const CONFINED_DIVISOR: usize = 4;
+
 /// The agents known to this entry, only by their heartbeats.
 pub struct Agents {
     /// address of this entry
@@ -22,6 +29,7 @@
     selector: RefCell<AgentSelector>,
     known: RefCell<BTreeMap<Name, Rc<Agent>>>,
     drains: Arc<CurrentDrains>,
+    confinement: RefCell<Confinement>,
     /// jobs that wait for free capacity
     pub backlog: Rc<Backlog>,
 }
@@ -39,6 +47,7 @@
             selector: RefCell::new(AgentSelector::new(SelectorSettings { target_agents })),
             known: RefCell::default(),
             drains,
+            confinement: RefCell::default(),
             backlog: Rc::default(),
         })
     }
@@ -53,6 +62,9 @@
     pub fn on_heartbeat(&self, hello: &Hello, worker: Option<worker::Client>) -> bool {
         self.update(hello, worker);
         let Some(agent) = self.get(&hello.name) else { return false };
+        if let Some(crash) = hello.crash.as_ref().filter(|crash| agent.note_crash(crash.number)) {
+            self.on_crash(&agent, crash);
+        }
         let surplus = self.is_surplus(&agent);
         // visiting agents are usually surplus, which is not worth a log line
         let is_visit = hello.entries_digest == 0;
@@ -138,6 +150,48 @@
         usable.cloned().collect()
     }
 
+    /// Those of them that take the jobs of a queue: few if it is confined, else all but
+    /// these few.
+    pub fn of_queue(&self, service: &str, queue: &str) -> Vec<Rc<Agent>> {
+        let agents = self.of_service(service);
+        let confinement = self.confinement.borrow();
+        if !confinement.is_active(service) {
+            return agents;
+        }
+        let confined = confined_agents(agents.clone());
+        if confinement.is_confined(service, queue) || confined.len() == agents.len() {
+            return confined;
+        }
+        agents.into_iter().filter(|a| !confined.iter().any(|c| Rc::ptr_eq(a, c))).collect()
+    }
+
+    pub fn is_confined(&self, service: &str, queue: &str) -> bool {
+        self.confinement.borrow().is_confined(service, queue)
+    }
+
+    /// Releases confined queues whose jobs no longer crash backend servers.
+    pub fn release_queues(&self) {
+        let services = self.confinement.borrow().active_services();
+        for service in services {
+            let confined = confined_agents(self.of_service(&service));
+            let any_ready = confined.iter().any(|a| a.load().ready);
+            self.confinement.borrow_mut().release(&service, any_ready, uptime());
+        }
+    }
+
+    /// Status of each confined queue, for operators.
+    pub fn confined_queues(&self) -> Vec<ConfinedQueue> {
+        self.confinement.borrow().report(uptime())
+    }
+
+    fn on_crash(&self, agent: &Rc<Agent>, crash: &CrashReport) {
+        let confined = confined_agents(self.of_service(&agent.service));
+        let is_confined = self.confinement.borrow().is_active(&agent.service)
+            && confined.iter().any(|a| Rc::ptr_eq(a, agent));
+        let site = if is_confined { CrashSite::Confined } else { CrashSite::Elsewhere };
+        self.confinement.borrow_mut().record(&agent.service, site, crash, uptime());
+    }
+
     /// Status of each agent, for operators.
     pub fn report(&self) -> Vec<AgentReport> {
         self.known.borrow().values().map(|a| a.report()).collect()
@@ -192,3 +246,8 @@
             && !self.drains.is_drained(&agent.centre)
     }
 }
+
+/// The few agents that take the jobs of confined queues.
+fn confined_agents(agents: Vec<Rc<Agent>>) -> Vec<Rc<Agent>> {
+    first_by_hash(agents, CONFINED_DIVISOR, |a| &a.name)
+}
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -5,7 +5,7 @@
 use lease::{Batch, BatchTask, Crash, Ending, Progress, TaskResult};
 use placement::{AgentView, Ahead, Demand, Objective, Plan, Shape, Stage, Turn, Waiter};
 use tokio::time::sleep;
-use topology::retry_set;
+use topology::first_by_hash;
 
 use crate::{
     Job, JobAnswer, JobDispatcher,
@@ -26,6 +26,9 @@
 /// Part of the caller's time that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// One of so many agents runs tasks again that may have crashed their backend server.
+const RETRY_DIVISOR: usize = 8;
+
 /// Reasons of answers.
 const FAILS: &str = "a task failed as often as it may";
 const CRASHES_SERVERS: &str = "a task crashes backend servers";
@@ -291,11 +294,19 @@
         if !self.is_untouched() {
             return Stage::Started;
         }
+        if self.is_confined() {
+            // the many jobs of a confined queue let those of others try first
+            return Stage::Late;
+        }
         let demand = self.demand(self.tasks.len());
         let may = self.dispatcher.placer().may_end_in_time(&self.load_views(), &demand);
         if may { Stage::Timely } else { Stage::Late }
     }
 
+    fn is_confined(&self) -> bool {
+        self.dispatcher.agents().is_confined(&self.job.queue_settings.service, &self.job.queue)
+    }
+
     /// Whether capacity is likely to become free while an answer is of use.
     fn may_join_backlog(&self, time_left: Duration) -> bool {
         if self.ticket.is_some() {
@@ -331,6 +342,7 @@
         let batch = Batch {
             number,
             job: self.job.id.clone(),
+            queue: self.job.queue.clone(),
             spec: self.job.spec.clone(),
             resources: self.job.resources,
             estimate,
@@ -488,7 +500,7 @@
     fn retry_agents(&self) -> Vec<Rc<Agent>> {
         let (others, crashed): (Vec<_>, Vec<_>) =
             self.usable_agents().into_iter().partition(|a| !self.crashed.contains(&a.name));
-        retry_set(if others.is_empty() { crashed } else { others }, |a| &a.name)
+        first_by_hash(if others.is_empty() { crashed } else { others }, RETRY_DIVISOR, |a| &a.name)
     }
 
     /// Whether this job is a suspect, and only agents that must not run its tasks take work.
@@ -579,13 +591,20 @@
         JobAnswer::Refused { reason: reason.into(), retry_after: refusal.retry_after }
     }
 
-    /// Agents that have the label of this job.
+    /// Agents that take this job's queue and have its label.
     fn usable_agents(&self) -> Vec<Rc<Agent>> {
-        let mut agents = self.dispatcher.agents().of_service(&self.job.queue_settings.service);
-        if !self.job.label.is_empty() {
-            agents.retain(|a| a.labels.borrow().contains(&self.job.label));
+        let (service, queue) = (&self.job.queue_settings.service, &self.job.queue);
+        let agents = self.dispatcher.agents().of_queue(service, queue);
+        if self.job.label.is_empty() {
+            return agents;
+        }
+        let has_label = |a: &Rc<Agent>| a.labels.borrow().contains(&self.job.label);
+        let labelled: Vec<_> = agents.into_iter().filter(has_label).collect();
+        if !labelled.is_empty() {
+            return labelled;
         }
-        agents
+        // a confinement may leave none with the label
+        self.dispatcher.agents().of_service(service).into_iter().filter(has_label).collect()
     }
 
     /// Views of the agents that show only their load, without the rack and limits of
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod agents;
 mod backlog;
 mod cancel;
+mod confinement;
 mod crash_history;
 mod dispatcher;
 mod execution;
@@ -24,6 +25,7 @@
 
 pub use agents::Agents;
 pub use backlog::{Backlog, Ticket};
+pub use confinement::{ConfinedQueue, Confinement, ConfinementSettings, CrashSite};
 pub use crash_history::{CrashHistory, CrashSettings, CrashedTask, Verdict};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
--- a/crates/dispatch/src/metrics.rs
+++ b/crates/dispatch/src/metrics.rs
@@ -62,6 +62,7 @@
     /// version of the configuration in force; 0 before the first one
     pub config_version: Gauge<u64, AtomicU64>,
     pub drained_centres: Gauge<u64, AtomicU64>,
+    pub confined_queues: Gauge<u64, AtomicU64>,
     rack_pressures: Family<ByRack, Gauge<f64, AtomicU64>>,
     /// racks in `rack_pressures`
     shown_racks: Mutex<Vec<ByRack>>,
@@ -101,6 +102,12 @@
             "Data centres that operators have drained",
             drained_centres.clone(),
         );
+        let confined_queues = Gauge::default();
+        registry.register(
+            "confined_queues",
+            "Queues on few agents only, because their jobs crash backend servers",
+            confined_queues.clone(),
+        );
         let rack_pressures = Family::default();
         registry.register(
             "rack_pressure",
@@ -119,6 +126,7 @@
             backlog_seconds,
             config_version,
             drained_centres,
+            confined_queues,
             rack_pressures,
             shown_racks,
             links,
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,6 +1,8 @@
 use base::Name;
 use serde::Serialize;
 
+use crate::ConfinedQueue;
+
 /// Status of an entry for operators.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -16,6 +18,8 @@
     pub drains: Vec<DrainReport>,
     /// jobs that wait, by class
     pub backlog: Vec<BacklogReport>,
+    /// queues that run on few agents only
+    pub confined: Vec<ConfinedQueue>,
 }
 
 /// Pressure of a rack at an entry.
--- a/crates/dispatch/src/runtime.rs
+++ b/crates/dispatch/src/runtime.rs
@@ -95,6 +95,7 @@
             racks: self.dispatcher.rack_report(),
             drains: self.agents.report_drains(),
             backlog: self.agents.backlog_report(),
+            confined: self.agents.confined_queues(),
         }
     }
 
@@ -107,6 +108,8 @@
             metrics.drained_centres.set(self.drains.len() as u64);
             metrics.set_backlog(&self.agents.backlog.by_class());
             self.dispatcher.refresh_racks();
+            self.agents.release_queues();
+            metrics.confined_queues.set(self.agents.confined_queues().len() as u64);
             for entry in peers.addresses() {
                 self.gossip.add_entry(entry);
             }
--- a/crates/dispatch/tests/drains.rs
+++ b/crates/dispatch/tests/drains.rs
@@ -54,6 +54,7 @@
         pinned: true,
         entries_digest: 0,
         drains,
+        crash: None,
     }
 }
 
--- a/crates/dispatch/tests/gossip.rs
+++ b/crates/dispatch/tests/gossip.rs
@@ -47,6 +47,7 @@
         pinned: false,
         entries_digest: 0,
         drains: Drains::default(),
+        crash: None,
     }
 }
 
--- a/crates/dispatch/tests/racks.rs
+++ b/crates/dispatch/tests/racks.rs
@@ -96,6 +96,7 @@
         pinned: false,
         entries_digest: 1,
         drains: drain::Drains::default(),
+        crash: None,
     }
 }
 
--- a/crates/dispatch/tests/suspension.rs
+++ b/crates/dispatch/tests/suspension.rs
@@ -65,6 +65,7 @@
         pinned: false,
         entries_digest: 0,
         drains: Drains::default(),
+        crash: None,
     }
 }
 
--- a/crates/lease/src/batch.rs
+++ b/crates/lease/src/batch.rs
@@ -16,6 +16,7 @@
     /// unique within an incarnation of the entry
     pub number: u64,
     pub job: Name,
+    pub queue: Name,
     pub spec: Arc<str>,
     /// needed by each task
     pub resources: Resources,
@@ -71,6 +72,16 @@
     pub proven: bool,
 }
 
+/// Crash of a backend server, as reported to all entries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashReport {
+    /// number of the crash since the start of the agent, from 1
+    pub number: u64,
+    /// for each queue, the probability that a task started as near to the crash by
+    /// coincidence
+    pub chances: Vec<(Name, f64)>,
+}
+
 /// State of the tasks of a batch.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -108,6 +119,7 @@
     pub session: SessionId,
     pub number: u64,
     pub job: Name,
+    pub queue: Name,
     pub spec: Arc<str>,
     pub resources: Resources,
     pub estimate: Duration,
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -24,12 +24,14 @@
 mod session;
 mod shares;
 mod speed;
+mod start_rates;
 mod suspicions;
 mod timings;
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use batch::{
-    Batch, BatchKey, BatchLookup, BatchStatus, BatchTask, Crash, Ending, Progress, TaskResult,
+    Batch, BatchKey, BatchLookup, BatchStatus, BatchTask, Crash, CrashReport, Ending, Progress,
+    TaskResult,
 };
 pub use class::{CLASSES, Class};
 pub use health::HealthSettings;
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -18,8 +18,8 @@
 use slotmap::SlotMap;
 
 use crate::{
-    AgentLoad, CLASSES, ClassStats, Effect, HealthSettings, LeaseTimings, Phase, Resources, RunKey,
-    SessionId, TaskRef,
+    AgentLoad, CLASSES, ClassStats, CrashReport, Effect, HealthSettings, LeaseTimings, Phase,
+    Resources, RunKey, SessionId, TaskRef,
     batch::{BatchKey, BatchState},
     health::Health,
     queue::Queue,
@@ -27,6 +27,7 @@
     session::Session,
     shares::Shares,
     speed::Speed,
+    start_rates::StartRates,
 };
 
 /// Time after which a stop that was not confirmed is ordered again.
@@ -83,6 +84,7 @@
     started: [u64; CLASSES],
     returned: [u64; CLASSES],
     speed: Speed,
+    start_rates: StartRates,
     health: Health,
     /// latest end of any lease that the backend server may have got
     leased_until: Uptime,
@@ -108,6 +110,8 @@
     cut_short: u64,
     /// crashes of the backend server that ended runs
     crashes: u64,
+    /// the newest crash, and when it was noticed
+    crash_report: Option<(CrashReport, Uptime)>,
     effects: Vec<Effect>,
 }
 
@@ -149,6 +153,7 @@
             started: [0; CLASSES],
             returned: [0; CLASSES],
             speed: Speed::default(),
+            start_rates: StartRates::default(),
             health: Health::default(),
             leased_until: Uptime::ZERO,
             pending_leases: Vec::new(),
@@ -163,6 +168,7 @@
             centre: CentreState::default(),
             cut_short: 0,
             crashes: 0,
+            crash_report: None,
             effects: Vec::new(),
         }
     }
--- a/crates/lease/src/scheduler/batches.rs
+++ b/crates/lease/src/scheduler/batches.rs
@@ -46,6 +46,7 @@
             session: id,
             number: batch.number,
             job: batch.job.clone(),
+            queue: batch.queue,
             spec: batch.spec,
             resources: batch.resources,
             estimate: batch.estimate,
--- a/crates/lease/src/scheduler/crashes.rs
+++ b/crates/lease/src/scheduler/crashes.rs
@@ -1,22 +1,33 @@
 //! Restarts and crashes of the backend server, and which of its runs may have caused them.
 //! It answers tasks that crash their backend server.
 
+use std::time::Duration;
+
 use base::{Event, Uptime};
 
 use crate::{
-    Crash, Effect, RunKey,
+    Crash, CrashReport, Effect, RunKey,
     run::{State, StopReason, Stopping},
     suspicions::Suspicions,
 };
 
 use super::{Scheduler, millis};
 
+/// How long a crash is reported.
+const REPORT_PERIOD: Duration = Duration::from_secs(2);
+
 impl Scheduler {
     /// Number of crashes of the backend server that ended runs.
     pub fn crashes(&self) -> u64 {
         self.crashes
     }
 
+    /// The newest crash of the backend server, for a while: heartbeats with it may be lost.
+    pub fn crash_report(&self, now: Uptime) -> Option<&CrashReport> {
+        let (report, at) = self.crash_report.as_ref()?;
+        (*at + REPORT_PERIOD > now).then_some(report)
+    }
+
     /// Handles the start time of the backend server; a later one than known means
     /// a restart, which lost all runs.
     pub(super) fn on_incarnation(&mut self, started_ms: u64, now: Uptime) {
@@ -32,6 +43,9 @@
         Event::BackendRestarted
             .note(&[("born", started_ms.into()), ("runs", (active.len() as u64).into())]);
         self.effects.push(Effect::RaiseFence);
+        if !self.is_gone {
+            self.report_crash(now);
+        }
         if !self.is_draining() {
             self.record_crash(&active, now);
         }
@@ -50,6 +64,17 @@
         }
     }
 
+    /// Makes a crash known to entries as soon as it is noticed, while its runs may still
+    /// have to be waited for.
+    pub(super) fn report_crash(&mut self, now: Uptime) {
+        if self.backend.is_none() || self.is_draining() {
+            return;
+        }
+        let number = self.crash_report.as_ref().map_or(0, |(report, _)| report.number) + 1;
+        let chances = self.start_rates.chances(self.silent_since.unwrap_or(now));
+        self.crash_report = Some((CrashReport { number, chances }, now));
+    }
+
     /// Records a crash of the backend server that ended these runs, and how likely each
     /// of them has caused it.
     pub(super) fn record_crash(&mut self, active: &[RunKey], now: Uptime) {
--- a/crates/lease/src/scheduler/listings.rs
+++ b/crates/lease/src/scheduler/listings.rs
@@ -62,8 +62,11 @@
     /// Handles the failure of a listing because nothing listens at the address of the
     /// backend server.
     pub fn on_not_listening(&mut self, now: Uptime) {
-        self.is_gone = true;
+        let was_gone = std::mem::replace(&mut self.is_gone, true);
         self.on_listing_failed(now);
+        if !was_gone {
+            self.report_crash(now);
+        }
     }
 
     /// Handles the failure of a listing.
--- a/crates/lease/src/scheduler/starts.rs
+++ b/crates/lease/src/scheduler/starts.rs
@@ -102,6 +102,7 @@
         let used = core_seconds(batch.resources.cpu, run_time);
         self.shares.record(batch.class, &batch.centre, used, now);
         self.started[batch.class.index()] += 1;
+        self.start_rates.record(&batch.queue, &batch.job, now);
         if batch.class > Class::default() {
             self.mixed_until = now + MIXED_PERIOD;
         }
--- a/crates/lease/tests/classes.rs
+++ b/crates/lease/tests/classes.rs
@@ -219,6 +219,7 @@
         let batch = Batch {
             number: self.number,
             job: task.job.clone(),
+            queue: "queue".into(),
             spec: "".into(),
             resources: Resources { cpu: TASK_CPU, memory: 64, gpu: 0 },
             estimate: it.estimate,
@@ -447,6 +448,7 @@
         let batch = Batch {
             number: self.number,
             job: self.number.to_string().as_str().into(),
+            queue: "queue".into(),
             spec: "".into(),
             resources: Resources { cpu, ..Resources::default() },
             estimate,
--- a/crates/lease/tests/promises.rs
+++ b/crates/lease/tests/promises.rs
@@ -632,6 +632,7 @@
         let batch = Batch {
             number,
             job: job.name.clone(),
+            queue: "queue".into(),
             spec: "".into(),
             resources: Resources { cpu: 500, ..Resources::default() },
             estimate: ESTIMATE,
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -35,6 +35,42 @@
         s.end(1, &first[0], EndCause::Done);
         assert_eq!(s.starts().len(), 1);
     };
+    a_crash_is_reported_at_the_first_refused_connection: |mut s| {
+        s.place(1, 1, 300);
+        let starts = s.starts();
+        s.accept_all(&starts);
+        s.advance_to(12);
+        s.scheduler.on_listing_failed(s.now);
+        assert!(s.scheduler.crash_report(s.now).is_none(), "it may only be slow");
+        s.advance_to(62);
+        s.scheduler.on_not_listening(s.now);
+        let report = s.scheduler.crash_report(s.now).expect("a report").clone();
+        let [(queue, chance)] = &report.chances[..] else { panic!("{report:?}") };
+        assert_eq!((report.number, &**queue), (1, "queue"));
+        assert!(*chance < 0.02, "a start 12 ms before is not likely by coincidence: {chance}");
+        assert_eq!(s.scheduler.counts(), (0, 1), "the run may go on until its lease has ended");
+        s.restart(2);
+        assert_eq!(s.scheduler.crash_report(s.now), Some(&report), "the same crash");
+    };
+    the_rate_of_starts_tells_coincidence: |mut s| {
+        for number in 1..100 {
+            s.place(number, 1, 300);
+            let starts = s.starts();
+            s.accept_all(&starts);
+            s.advance_to(number * 20);
+            s.end(number, &starts[0], EndCause::Done);
+        }
+        s.advance_to(2_000);
+        s.scheduler.on_not_listening(s.now);
+        let report = s.scheduler.crash_report(s.now).expect("a report");
+        assert!(report.chances[0].1 > 0.3, "with fifty starts a second: {report:?}");
+    };
+    the_exit_of_a_draining_backend_server_is_not_reported_as_a_crash: |mut s| {
+        s.place(1, 1, 300);
+        s.announce(Phase { draining: true, ..Phase::default() });
+        s.scheduler.on_not_listening(s.now);
+        assert!(s.scheduler.crash_report(s.now).is_none());
+    };
     returns_a_task_without_capacity_in_time: |mut s| {
         let key = s.place(1, 3, 100);
         let first = s.starts();
@@ -898,6 +934,7 @@
         Batch {
             number,
             job: job.into(),
+            queue: "queue".into(),
             spec: "spec".into(),
             resources,
             estimate: Duration::from_millis(100),
--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -533,6 +533,7 @@
         let batch = Batch {
             number: self.entry.last_batch,
             job: "job".into(),
+            queue: "queue".into(),
             spec: "".into(),
             resources: Resources { cpu: 500, ..Resources::default() },
             estimate: Duration::from_millis(300),
--- a/crates/placement/tests/overload.rs
+++ b/crates/placement/tests/overload.rs
@@ -341,6 +341,7 @@
             let batch = Batch {
                 number: self.last_batch,
                 job: number.to_string().as_str().into(),
+                queue: "queue".into(),
                 spec: "".into(),
                 resources: demand.resources,
                 estimate: job.estimate,
--- a/crates/placement/tests/shortage.rs
+++ b/crates/placement/tests/shortage.rs
@@ -400,6 +400,7 @@
             let batch = Batch {
                 number: self.last_number,
                 job: number.to_string().as_str().into(),
+                queue: "queue".into(),
                 spec: "".into(),
                 resources,
                 estimate: job.estimate.mul_f64(views[assignment.agent].distance_factor),
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -8,8 +8,8 @@
 use base::{Event, Name, Uptime, now_ms, uptime};
 use lease::{
     AdaptiveTimeout, AgentLoad, Batch, BatchKey, BatchLookup, BatchStatus, CLASSES, CentreState,
-    ClassStats, Delivery, Effect, HealthSettings, LeaseTimings, Phase, Progress, RefusalReason,
-    Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
+    ClassStats, CrashReport, Delivery, Effect, HealthSettings, LeaseTimings, Phase, Progress,
+    RefusalReason, Scheduler, SchedulerSettings, SessionId, StartOrder, StartOutcome, StopOrder,
 };
 use slotmap::SecondaryMap;
 use tokio::{
@@ -185,6 +185,11 @@
         self.scheduler.borrow().cut_short()
     }
 
+    /// A recent crash of the backend server.
+    pub fn crash_report(&self) -> Option<CrashReport> {
+        self.scheduler.borrow().crash_report(uptime()).cloned()
+    }
+
     /// Number of crashes of the backend server that ended runs.
     pub fn crashes(&self) -> u64 {
         self.scheduler.borrow().crashes()
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -273,6 +273,7 @@
             // 0 requests the full list
             entries_digest: if forget_count == self.state.forget_count.get() { digest } else { 0 },
             drains: drains.get(),
+            crash: driver.crash_report(),
         };
         let mut req = peer.link.entry()?.join_request();
         Method::Join.record_call();
--- a/crates/runner/tests/drain.rs
+++ b/crates/runner/tests/drain.rs
@@ -106,6 +106,7 @@
     let batch = Batch {
         number: 1,
         job: "job".into(),
+        queue: "queue".into(),
         spec: "".into(),
         resources: Resources { cpu: 1000, ..Resources::default() },
         estimate: Duration::from_millis(50),
--- a/crates/runner/tests/driver.rs
+++ b/crates/runner/tests/driver.rs
@@ -110,6 +110,7 @@
     Batch {
         number: 1,
         job: "job".into(),
+        queue: "queue".into(),
         spec: "spec".into(),
         resources: Resources { cpu: 1000, memory: 1, gpu: 0 },
         estimate: Duration::from_secs(2),
--- a/crates/topology/src/lib.rs
+++ b/crates/topology/src/lib.rs
@@ -10,12 +10,12 @@
 //! Both sides use the same [`rank`], so that agents first connect to entries
 //! that will keep them.
 
+mod first_by_hash;
 mod rank;
-mod retry_set;
 mod schedule;
 mod selector;
 
+pub use first_by_hash::first_by_hash;
 pub use rank::{Rank, digest, rank};
-pub use retry_set::retry_set;
 pub use schedule::{ScheduleSettings, VisitSchedule};
 pub use selector::{AgentSelector, Candidate, SelectorSettings};
--- a/crates/topology/tests/first_by_hash.rs
+++ b/crates/topology/tests/first_by_hash.rs
@@ -1,6 +1,6 @@
 //! Which agents run tasks again that may have crashed their backend server.
 
-use topology::retry_set;
+use topology::first_by_hash;
 
 macro_rules! cases {
     ($($name:ident: $check:expr;)*) => {
@@ -27,7 +27,7 @@
 }
 
 fn select(agents: Vec<String>) -> Vec<String> {
-    retry_set(agents, |a| a)
+    first_by_hash(agents, 8, |a| a)
 }
 
 fn agents(count: usize) -> Vec<String> {
--- a/crates/wire/schema/egret.capnp
+++ b/crates/wire/schema/egret.capnp
@@ -229,6 +229,14 @@
   firm @10 :Bool;        # the entry is one of the few that the agent counts on
   digest @11 :UInt64;    # of the entries that it was sent; 0 for none
   drains @12 :Drains;
+  crash @13 :UInt64;     # number of a recent crash of the backend server; 0 for none
+  chances @14 :List(Chance);
+}
+
+# How likely a task of a queue started as near to the crash by coincidence.
+struct Chance {
+  queue @0 :Text;
+  probability @1 :Float32;
 }
 
 struct Welcome {
@@ -259,6 +267,7 @@
   leftMs @6 :UInt32;     # time left to the deadline
   tasks @7 :List(Placement);
   class @8 :UInt8;       # 0 is the most urgent
+  queue @9 :Text;
 }
 
 enum Ending {
--- a/crates/wire/src/egret_capnp.rs
+++ b/crates/wire/src/egret_capnp.rs
@@ -13686,11 +13686,23 @@
         pub fn has_drains(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_crash(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn get_chances(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::egret_capnp::chance::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_chances(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -13900,6 +13912,30 @@
         pub fn has_drains(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_crash(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_crash(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
+        pub fn get_chances(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::egret_capnp::chance::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_chances(&mut self, value: ::capnp::struct_list::Reader<'_,crate::egret_capnp::chance::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_chances(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::egret_capnp::chance::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_chances(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -13917,115 +13953,129 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 218] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 252] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(123, 57, 48, 9, 126, 86, 184, 249),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 72, 101, 108, 108),
             ::capnp::word(111, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 0, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14136,6 +14186,26 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 99, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(191, 119, 67, 20, 115, 2, 157, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -14152,6 +14222,8 @@
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <crate::egret_capnp::drains::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::struct_list::Owned<crate::egret_capnp::chance::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -14165,13 +14237,249 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,11,8,12,10,1,4,0,7,9,3,5,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,14,13,11,8,12,10,1,4,0,7,9,3,5,6];
         pub(crate) const TYPE_ID: u64 = 0xf9b8_567e_0930_397b;
     }
 }
 
+pub mod chance {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_queue(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_queue(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_probability(self) -> f32 {
+            self.reader.get_data_field::<f32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_queue(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_queue(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_queue(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_queue(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_probability(self) -> f32 {
+            self.builder.get_data_field::<f32>(0)
+        }
+        #[inline]
+        pub fn set_probability(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(191, 119, 67, 20, 115, 2, 157, 188),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 104, 97, 110),
+            ::capnp::word(99, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 97, 98, 105, 108),
+            ::capnp::word(105, 116, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xbc9d_0273_1443_77bf;
+    }
+}
+
 pub mod welcome {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -14996,11 +15304,19 @@
         pub fn get_class(self) -> u8 {
             self.reader.get_data_field::<u8>(20)
         }
+        #[inline]
+        pub fn get_queue(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_queue(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -15154,6 +15470,22 @@
         pub fn set_class(&mut self, value: u8)  {
             self.builder.set_data_field::<u8>(20, value);
         }
+        #[inline]
+        pub fn get_queue(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_queue(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_queue(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_queue(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -15168,87 +15500,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(57, 17, 171, 151, 90, 13, 172, 226),
             ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(210, 169, 243, 225, 197, 71, 81, 191),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 103, 114, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 97, 116, 99),
             ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -15326,6 +15665,14 @@
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 101, 117, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -15338,6 +15685,7 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::egret_capnp::placement::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -15351,9 +15699,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,4,1,6,0,3,2,7,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,4,1,6,0,9,3,2,7,5];
         pub(crate) const TYPE_ID: u64 = 0xe2ac_0d5a_97ab_1139;
     }
 }
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -4,8 +4,8 @@
 use capnp::primitive_list;
 use drain::{DrainedCentre, Drains};
 use lease::{
-    AgentLoad, Batch, BatchStatus, BatchTask, CLASSES, Class, Crash, Ending, Progress, Resources,
-    TaskResult,
+    AgentLoad, Batch, BatchStatus, BatchTask, CLASSES, Class, Crash, CrashReport, Ending, Progress,
+    Resources, TaskResult,
 };
 
 use crate::{
@@ -42,6 +42,8 @@
     pub entries_digest: u64,
     /// drained data centres known to the agent
     pub drains: Drains,
+    /// a recent crash of the backend server
+    pub crash: Option<CrashReport>,
 }
 
 /// An entry's reply to an agent, also exchanged between entries.
@@ -82,7 +84,15 @@
     to.set_sent_us(micros(it.sent_at));
     to.set_firm(it.pinned);
     to.set_digest(it.entries_digest);
-    write_drains(to.init_drains(), &it.drains);
+    write_drains(to.reborrow().init_drains(), &it.drains);
+    let Some(crash) = &it.crash else { return };
+    to.set_crash(crash.number);
+    let mut chances = to.init_chances(crash.chances.len() as u32);
+    for (i, (queue, probability)) in (0..).zip(&crash.chances) {
+        let mut chance = chances.reborrow().get(i);
+        chance.set_queue(&**queue);
+        chance.set_probability(*probability as f32);
+    }
 }
 
 pub fn read_hello(from: hello::Reader<'_>) -> Result<Hello> {
@@ -101,9 +111,25 @@
         pinned: from.get_firm(),
         entries_digest: from.get_digest(),
         drains: read_drains(from.get_drains()?)?,
+        crash: read_crash(from)?,
     })
 }
 
+fn read_crash(from: hello::Reader<'_>) -> Result<Option<CrashReport>> {
+    let number = from.get_crash();
+    if number == 0 {
+        return Ok(None);
+    }
+    let chances = from.get_chances()?.iter().map(|it| {
+        let probability = f64::from(it.get_probability());
+        match (0.0..=1.0).contains(&probability) {
+            true => Ok((read_name(it.get_queue())?, probability)),
+            false => Err(Error::Malformed(format!("{probability} is not a probability"))),
+        }
+    });
+    Ok(Some(CrashReport { number, chances: chances.collect::<Result<_>>()? }))
+}
+
 pub fn write_welcome(mut to: welcome::Builder<'_>, it: &Welcome) {
     to.set_name(&*it.name);
     to.set_incarnation(it.incarnation);
@@ -145,6 +171,7 @@
     to.set_wait_ms(millis(it.max_wait));
     to.set_left_ms(millis(it.time_left));
     to.set_class(it.class.index() as u8);
+    to.set_queue(&*it.queue);
     let mut tasks = to.init_tasks(it.tasks.len() as u32);
     for (i, task) in (0..).zip(&it.tasks) {
         let mut to = tasks.reborrow().get(i);
@@ -159,6 +186,7 @@
     Ok(Batch {
         number: from.get_number(),
         job: read_name(from.get_job())?,
+        queue: read_name(from.get_queue())?,
         spec: Arc::from(spec),
         resources: read_resources(from.get_size()?),
         estimate: Duration::from_millis(from.get_estimate_ms().into()),
