base: log lines are written together every 50 ms

Cause: each line woke the thread that writes the log, which wrote it with a call of its own, and its fields were copied into a sorted map first. By perf a tenth of an entry's processor time. Lines are collected for 50 ms, fields are written as they come, and a process that ends waits until its lines are written; one that is killed loses those of 50 ms.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -16,7 +16,7 @@
 pub use id::{MAX_KEY_BYTES, Name, TaskId};
 pub use invariant::{broken_count, panic_on_broken, report_broken};
 pub use log::kv::Value as LogValue;
-pub use logging::{dropped_lines, start_logging};
+pub use logging::{dropped_lines, flush_log, start_logging};
 pub use member::Member;
 pub use outcome::{Answer, Outcome};
 pub use task::{Digest, Task};
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -38,6 +38,7 @@
         return Ok(());
     }
     base::start_logging(settings.name(), LevelFilter::Info)?;
-    actix::System::new().block_on(serve(settings, args.settings.as_str().into()))?;
-    Ok(())
+    let served = actix::System::new().block_on(serve(settings, args.settings.as_str().into()));
+    base::flush_log();
+    Ok(served?)
 }
