--- a/crates/ctl/src/queries/report.rs
+++ b/crates/ctl/src/queries/report.rs
@@ -62,7 +62,7 @@
 struct ConfinedQueue {
     service: String,
     queue: String,
-    since_ms: u64,
+    age_ms: u64,
     crashes: usize,
 }
 
@@ -201,7 +201,7 @@
 
     fn rows(&self) -> Vec<Vec<String>> {
         let row = |q: &ConfinedQueue| {
-            let numbers = [q.since_ms.to_string(), q.crashes.to_string()];
+            let numbers = [q.age_ms.to_string(), q.crashes.to_string()];
             [q.service.clone(), q.queue.clone()].into_iter().chain(numbers).collect()
         };
         self.0.iter().map(row).collect()
--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -174,8 +174,8 @@
         let services = self.confinement.borrow().active_services();
         for service in services {
             let confined = confined_agents(self.of_service(&service));
-            let any_ready = confined.iter().any(|a| a.load().ready);
-            self.confinement.borrow_mut().release(&service, any_ready, uptime());
+            let ready = confined.iter().filter(|a| a.load().ready).count();
+            self.confinement.borrow_mut().release(&service, ready, uptime());
         }
     }
 
--- a/crates/dispatch/src/confinement.rs
+++ b/crates/dispatch/src/confinement.rs
@@ -102,7 +102,8 @@
 pub struct ConfinedQueue {
     pub service: Name,
     pub queue: Name,
-    pub since_ms: u64,
+    /// time since it was confined
+    pub age_ms: u64,
     /// crashes since then on the agents that take its jobs
     pub crashes: usize,
 }
@@ -136,13 +137,13 @@
         active.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Releases the queues of a service without further crashes. While no agent takes
-    /// their jobs, `any_ready`, none can be expected.
-    pub fn release(&mut self, service: &str, any_ready: bool, now: Uptime) {
+    /// Releases the queues of a service without further crashes. `ready` agents take their
+    /// jobs: with none, no crash can be expected.
+    pub fn release(&mut self, service: &str, ready: usize, now: Uptime) {
         let Some(it) = self.services.get_mut(service) else { return };
         let probation = self.settings.probation;
         it.confined.retain(|queue, confined| {
-            if !any_ready {
+            if ready == 0 {
                 confined.last_at = now;
             }
             let keep = confined.last_at + probation > now;
@@ -159,7 +160,7 @@
             it.confined.iter().map(|(queue, confined)| ConfinedQueue {
                 service: service.clone(),
                 queue: queue.clone(),
-                since_ms: confined.age_ms(now),
+                age_ms: confined.age_ms(now),
                 crashes: confined.evidence.crashes,
             })
         });
--- a/crates/dispatch/tests/confinement.rs
+++ b/crates/dispatch/tests/confinement.rs
@@ -50,17 +50,17 @@
     };
     a_queue_is_released_when_its_agents_run_its_tasks_without_a_crash: |mut s| {
         s.confine();
-        s.pass(Duration::from_millis(1400), true);
+        s.pass(Duration::from_millis(1400), 1);
         assert_eq!(s.confined(), [QUEUE]);
-        s.pass(Duration::from_millis(200), true);
+        s.pass(Duration::from_millis(200), 1);
         assert!(s.confined().is_empty());
     };
     a_queue_stays_confined_while_its_agents_can_not_show_that_it_is_harmless: |mut s| {
         s.confine();
-        s.pass(Duration::from_secs(10), false);
+        s.pass(Duration::from_secs(10), 0);
         assert_eq!(s.confined(), [QUEUE]);
         s.crash(CrashSite::Confined, &[(QUEUE, SHORTLY_BEFORE)]);
-        s.pass(Duration::from_millis(1400), true);
+        s.pass(Duration::from_millis(1400), 1);
         assert_eq!(s.confined(), [QUEUE]);
     };
     crashes_on_confined_agents_confine_no_other_queue: |mut s| {
@@ -95,7 +95,7 @@
     };
     crashes_of_a_confined_queue_placed_by_an_entry_that_has_just_started_confine_no_other: |mut s| {
         s.confine();
-        s.pass(Duration::from_millis(600), true);
+        s.pass(Duration::from_millis(600), 1);
         for _ in 0..6 {
             s.crash(CrashSite::Elsewhere, &[(QUEUE, 0.01), ("other", 0.003)]);
         }
@@ -118,7 +118,7 @@
                 s.crash(CrashSite::Elsewhere, &chances);
             }
             confined += s.confined().len();
-            s.pass(Duration::from_secs(3), true);
+            s.pass(Duration::from_secs(3), 1);
             after += s.confined().len();
         }
         assert!(confined <= 100, "{confined} queues in 1000 series of crashes");
@@ -156,12 +156,12 @@
         assert_eq!(self.confined(), [QUEUE]);
     }
 
-    /// Lets time pass, while some agent that takes confined queues is ready or not.
-    fn pass(&mut self, time: Duration, any_ready: bool) {
+    /// Lets time pass, while so many agents that take confined queues are ready.
+    fn pass(&mut self, time: Duration, ready: usize) {
         let end = self.now + time;
         while self.now < end {
             self.now += Duration::from_millis(50);
-            self.confinement.release(SERVICE, any_ready, self.now);
+            self.confinement.release(SERVICE, ready, self.now);
         }
     }
 
