dispatch, lease: jobs are known by queue and id, not by their id alone

A DELETE or GET in one queue acted on the job of another.

Cause: an entry kept jobs in progress, and crashes under jobs, by the bare id. Agents weighed the suspects of a crash, and looked for an earlier run of a job, by it too. Evidence: E0800 and E0801 name the first queue only, and no agent's E0810 names the second; with different ids both jobs run.

The key is now queue and id in all these places. Backend servers know tasks by the id alone, so jobs of one service with one id take turns at an entry, until the stops of the first are confirmed. Another text or number of tasks under the id of a job in progress in the same queue gets 409: the caller was told `completed` for a text that never ran.

Between builds: the messages are unchanged. A batch without a queue, from builds before, counts as of the same job.

--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -3,6 +3,8 @@
 use base::{Name, Uptime};
 use lease::Crash;
 
+use crate::JobKey;
+
 /// Longest time between the reports of the tasks that one crash has ended.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 
@@ -59,8 +61,7 @@
 /// A task that was active in a crash.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashedTask<'a> {
-    pub job: &'a Name,
-    pub queue: &'a Name,
+    pub job: &'a JobKey,
     pub index: u32,
     /// agent whose backend server crashed
     pub agent: &'a Name,
@@ -75,7 +76,7 @@
 #[derive(Default)]
 pub struct CrashHistory {
     settings: CrashSettings,
-    jobs: HashMap<Name, JobCrashes>,
+    jobs: HashMap<JobKey, JobCrashes>,
     /// agent and time of the crashes with suspects of each queue
     suspected: HashMap<Name, Vec<(Name, Uptime)>>,
 }
@@ -129,19 +130,19 @@
     }
 
     /// Records that a task of a job has ended well.
-    pub fn record_success(&mut self, job: &Name) {
+    pub fn record_success(&mut self, job: &JobKey) {
         if let Some(crashes) = self.jobs.get_mut(job) {
             crashes.is_suspect = false;
         }
     }
 
     /// Whether the tasks of a job run one at a time.
-    pub fn is_suspect(&self, job: &Name) -> bool {
+    pub fn is_suspect(&self, job: &JobKey) -> bool {
         self.jobs.get(job).is_some_and(|j| j.is_suspect)
     }
 
     /// Verdict on a job that may have been submitted before, if a task of it was given up.
-    pub fn earlier_verdict(&self, job: &Name) -> Option<Verdict> {
+    pub fn earlier_verdict(&self, job: &JobKey) -> Option<Verdict> {
         let tasks = self.jobs.get(job)?.tasks.values();
         let given_up = tasks.filter(|t| self.settings.is_given_up(**t));
         let proven = given_up.map(|t| t.proven).max()?;
@@ -150,7 +151,7 @@
 
     /// Records a crash with a suspect of a queue; returns whether there were few before.
     fn may_retry(&mut self, task: CrashedTask<'_>, now: Uptime) -> bool {
-        let crashes = self.suspected.entry(task.queue.clone()).or_default();
+        let crashes = self.suspected.entry(task.job.queue.clone()).or_default();
         // tasks of one crash are reported one after the other
         let is_known = |(agent, at): &(Name, Uptime)| agent == task.agent && *at + SAME_CRASH > now;
         let before = crashes.iter().filter(|it| !is_known(it)).count();
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::{Name, Uptime, uptime};
+use base::{Event, Uptime, uptime};
 use futures::{
     FutureExt,
     future::{LocalBoxFuture, Shared, WeakShared},
@@ -15,8 +15,9 @@
 use placement::{ObjectiveSettings, Placer, PlacerSettings, RackDemand};
 
 use crate::{
-    Agents, CrashHistory, Job, JobAnswer, JobReport, Metrics, RackReport,
+    Agents, CrashHistory, Job, JobAnswer, JobKey, JobReport, Metrics, RackReport,
     agent_client::AgentClient, cancel::CancelSignal, execution::JobExecution,
+    name_claims::NameClaims,
 };
 
 /// Settings of a job dispatcher.
@@ -49,12 +50,14 @@
     /// deadline for all answers, once this entry stops
     deadline: Cell<Option<Uptime>>,
     /// jobs in progress
-    jobs: RefCell<HashMap<Name, InProgress>>,
+    jobs: RefCell<HashMap<JobKey, InProgress>>,
+    name_claims: NameClaims,
 }
 
 struct InProgress {
     answer: WeakShared<LocalBoxFuture<'static, JobAnswer>>,
-    queue: Name,
+    spec: Arc<str>,
+    count: u32,
     since: Uptime,
     started: Rc<Cell<bool>>,
     cancel: Rc<CancelSignal>,
@@ -79,6 +82,7 @@
             last_batch: Cell::new(0),
             deadline: Cell::new(None),
             jobs: RefCell::default(),
+            name_claims: NameClaims::default(),
         })
     }
 
@@ -93,8 +97,19 @@
     /// Runs a job to its answer. The same job submitted again meanwhile gets the
     /// same answer; a job that nobody waits for any more is stopped.
     pub async fn submit(self: &Rc<Self>, job: Job) -> JobAnswer {
-        let answer = self.join_or_start(job);
-        answer.await
+        let key = job.key();
+        if let Some(answer) = self.join_or_start(job) {
+            return answer.await;
+        }
+        let answer = JobAnswer::Conflict;
+        Event::JobRefused.note(&[
+            ("job", (&*key.id).into()),
+            ("queue", (&*key.queue).into()),
+            ("answer", answer.as_str().into()),
+            ("why", answer.reason().into()),
+        ]);
+        self.metrics.record_answer(&key.queue, answer.as_str(), Duration::ZERO);
+        answer
     }
 
     /// Sets the deadline for all answers, because this entry stops.
@@ -103,8 +118,8 @@
     }
 
     /// Cancels a job; false when it isn't in progress here.
-    pub fn cancel(&self, id: &str) -> bool {
-        match self.jobs.borrow().get(id) {
+    pub fn cancel(&self, job: &JobKey) -> bool {
+        match self.jobs.borrow().get(job) {
             Some(job) if job.answer.upgrade().is_some() => {
                 job.cancel.cancel("cancelled by the caller");
                 true
@@ -114,15 +129,15 @@
     }
 
     /// Whether a job in progress here has started; `None` when there is none.
-    pub fn has_started(&self, id: &str) -> Option<bool> {
+    pub fn has_started(&self, job: &JobKey) -> Option<bool> {
         let jobs = self.jobs.borrow();
-        jobs.get(id).filter(|j| j.answer.upgrade().is_some()).map(|j| j.started.get())
+        jobs.get(job).filter(|j| j.answer.upgrade().is_some()).map(|j| j.started.get())
     }
 
     /// Number of jobs of a queue that have not started.
     pub fn pending(&self, queue: &str) -> usize {
         let jobs = self.jobs.borrow();
-        jobs.values().filter(|j| &*j.queue == queue && !j.started.get()).count()
+        jobs.iter().filter(|(key, j)| &*key.queue == queue && !j.started.get()).count()
     }
 
     /// Cancels every job in progress, because this entry stops.
@@ -135,9 +150,9 @@
     /// Status of each job in progress, for operators.
     pub fn report(&self) -> Vec<JobReport> {
         let jobs = self.jobs.borrow();
-        let report = |(id, job): (&Name, &InProgress)| JobReport {
-            id: id.clone(),
-            queue: job.queue.clone(),
+        let report = |(key, job): (&JobKey, &InProgress)| JobReport {
+            id: key.id.clone(),
+            queue: key.queue.clone(),
             started: job.started.get(),
             age_ms: uptime().saturating_sub(job.since).as_millis() as u64,
         };
@@ -170,22 +185,26 @@
         self.jobs.borrow().is_empty()
     }
 
-    fn join_or_start(self: &Rc<Self>, job: Job) -> SharedAnswer {
-        let known = self.jobs.borrow().get(&job.id).and_then(|j| j.answer.upgrade());
-        if let Some(answer) = known {
-            return answer;
+    /// The answer to come; `None` if a job with other contents has the same key.
+    fn join_or_start(self: &Rc<Self>, job: Job) -> Option<SharedAnswer> {
+        let key = job.key();
+        if let Some(known) = self.jobs.borrow().get(&key)
+            && let Some(answer) = known.answer.upgrade()
+        {
+            let is_same = known.spec == job.spec && known.count == job.count;
+            return is_same.then_some(answer);
         }
         self.record_demand(&job);
         let (started, cancel) = (Rc::<Cell<bool>>::default(), Rc::<CancelSignal>::default());
-        let (id, queue) = (job.id.clone(), job.queue.clone());
+        let (spec, count) = (job.spec.clone(), job.count);
         let execution = JobExecution::new(self.clone(), job, started.clone(), cancel.clone());
         let answer = execution.answer().boxed_local().shared();
         // `downgrade` fails only for a future that has completed
         if let Some(weak) = answer.downgrade() {
-            let it = InProgress { answer: weak, queue, since: uptime(), started, cancel };
-            self.jobs.borrow_mut().insert(id, it);
+            let it = InProgress { answer: weak, spec, count, since: uptime(), started, cancel };
+            self.jobs.borrow_mut().insert(key, it);
         }
-        answer
+        Some(answer)
     }
 
     fn record_demand(&self, job: &Job) {
@@ -209,6 +228,10 @@
         self.racks.borrow()
     }
 
+    pub(crate) fn name_claims(&self) -> &NameClaims {
+        &self.name_claims
+    }
+
     /// Crashes under the jobs of this entry.
     pub(crate) fn crashes(&self) -> RefMut<'_, CrashHistory> {
         self.crashes.borrow_mut()
@@ -233,10 +256,10 @@
     }
 
     /// Forgets a job that has ended, unless it was submitted again.
-    pub(crate) fn forget(&self, id: &str, started: &Rc<Cell<bool>>) {
+    pub(crate) fn forget(&self, job: &JobKey, started: &Rc<Cell<bool>>) {
         let mut jobs = self.jobs.borrow_mut();
-        if jobs.get(id).is_some_and(|j| Rc::ptr_eq(&j.started, started)) {
-            jobs.remove(id);
+        if jobs.get(job).is_some_and(|j| Rc::ptr_eq(&j.started, started)) {
+            jobs.remove(job);
         }
     }
 
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -8,11 +8,12 @@
 use topology::first_by_hash;
 
 use crate::{
-    Job, JobAnswer, JobDispatcher,
+    Job, JobAnswer, JobDispatcher, JobKey,
     agent::Agent,
     backlog::Ticket,
     cancel::CancelSignal,
     crash_history::{CrashedTask, Verdict},
+    name_claims::NameClaim,
     placed_batch::{BatchUpdate, PlacedBatch},
 };
 
@@ -50,6 +51,7 @@
 /// batches that are still pending, also when the caller has disconnected.
 pub struct JobExecution {
     dispatcher: Rc<JobDispatcher>,
+    key: JobKey,
     job: Job,
     objective: Objective,
     arrived_at: Uptime,
@@ -69,6 +71,8 @@
     placed: Vec<(Rc<Agent>, u64)>,
     /// batch of the only task that may run while this job is a suspect
     alone: Option<u64>,
+    /// held until no run of this job is left
+    name_claim: Option<Rc<NameClaim>>,
     /// whether any task has started, or may have
     started: Rc<Cell<bool>>,
     cancel: Rc<CancelSignal>,
@@ -96,6 +100,7 @@
         let count = job.count as usize;
         Self {
             dispatcher,
+            key: job.key(),
             objective,
             arrived_at: uptime(),
             tasks: vec![Task::Unplaced(1); count],
@@ -106,6 +111,7 @@
             sent: HashMap::new(),
             placed: Vec::new(),
             alone: None,
+            name_claim: None,
             started,
             cancel,
             ticket: None,
@@ -141,10 +147,13 @@
     }
 
     async fn run(&mut self) -> JobAnswer {
-        let verdict = self.dispatcher.crashes().earlier_verdict(&self.job.id);
+        let verdict = self.dispatcher.crashes().earlier_verdict(&self.key);
         if let Some(answer) = verdict.and_then(final_answer) {
             return answer;
         }
+        if let Err(answer) = self.claim_name().await {
+            return answer;
+        }
         self.dispatcher.agents().note_requirements(&self.job);
         let mut calls = PendingCalls::new();
         loop {
@@ -199,6 +208,30 @@
         }
     }
 
+    /// Waits while a job with the same id of another queue may have runs on this service:
+    /// backend servers know tasks by the id of their job.
+    async fn claim_name(&mut self) -> Result<(), JobAnswer> {
+        let service = self.job.queue_settings.service.clone();
+        loop {
+            if let Some(claim) = self.dispatcher.name_claims().claim(&service, &self.job.id) {
+                self.name_claim = Some(Rc::new(claim));
+                return Ok(());
+            }
+            if self.cancel.reason().is_some() {
+                return Err(self.refuse());
+            }
+            let useful_time = self.time_until_cutoff().min(self.time_left().unwrap_or_default());
+            let Some(limit) = useful_time.checked_sub(self.job.estimate) else {
+                return Err(self.refuse());
+            };
+            tokio::select! {
+                () = self.dispatcher.name_claims().released() => {}
+                () = self.cancel.cancelled() => {}
+                () = sleep(limit.max(MIN_SLEEP)) => {}
+            }
+        }
+    }
+
     /// Places the unplaced tasks; returns the number still unplaced.
     fn place(&mut self, calls: &mut PendingCalls) -> usize {
         let mut unplaced: Vec<BatchTask> = (0..)
@@ -427,7 +460,7 @@
             Ending::Done => {
                 *task = Task::Done;
                 self.dispatcher.metrics().record_ending("done");
-                self.dispatcher.crashes().record_success(&self.job.id);
+                self.dispatcher.crashes().record_success(&self.key);
                 return None;
             }
             Ending::Failed => "failed",
@@ -465,12 +498,11 @@
         if !self.crashed.contains(agent) {
             self.crashed.push(agent.clone());
         }
-        let (job, queue) = (&self.job.id, &self.job.queue);
-        let task = CrashedTask { job, queue, index, agent };
+        let task = CrashedTask { job: &self.key, index, agent };
         let verdict = self.dispatcher.crashes().record(task, crash, uptime());
         Event::TaskCrashed.note(&[
-            ("job", (&**job).into()),
-            ("queue", (&**queue).into()),
+            ("job", (&*self.job.id).into()),
+            ("queue", (&*self.job.queue).into()),
             ("index", index.into()),
             ("suspicion", crash.suspicion.into()),
             ("proven", crash.proven.into()),
@@ -487,7 +519,7 @@
 
     /// Whether tasks of this job may have crashed a backend server.
     fn is_suspect(&self) -> bool {
-        self.dispatcher.crashes().is_suspect(&self.job.id)
+        self.dispatcher.crashes().is_suspect(&self.key)
     }
 
     /// Whether the only task that may run while this job is a suspect does so.
@@ -641,7 +673,7 @@
 
 impl Drop for JobExecution {
     fn drop(&mut self) {
-        self.dispatcher.forget(&self.job.id, &self.started);
+        self.dispatcher.forget(&self.key, &self.started);
         if !self.answered {
             Event::CallerDisconnected.note(&[
                 ("job", (&*self.job.id).into()),
@@ -651,8 +683,11 @@
             self.dispatcher.metrics().record_answer(&self.job.queue, "caller-left", self.age());
         }
         for (agent, number) in self.placed.drain(..) {
-            let client = self.dispatcher.client();
-            actix::spawn(async move { client.stop(agent, number).await });
+            let (client, claim) = (self.dispatcher.client(), self.name_claim.clone());
+            actix::spawn(async move {
+                client.stop(agent, number).await;
+                drop(claim);
+            });
         }
     }
 }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -4,6 +4,13 @@
 use conf::Queue;
 use lease::{Class, Resources};
 
+/// Identity of a job. Callers choose the ids, so jobs of two queues may have the same one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct JobKey {
+    pub queue: Name,
+    pub id: Name,
+}
+
 /// A job submitted by a caller: tasks of equal resources that may run in parallel.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -29,6 +36,12 @@
     pub max_per_agent: u32,
 }
 
+impl Job {
+    pub fn key(&self) -> JobKey {
+        JobKey { queue: self.queue.clone(), id: self.id.clone() }
+    }
+}
+
 /// Answer to a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobAnswer {
@@ -42,6 +55,8 @@
         reason: Name,
         retry_after: Duration,
     },
+    /// none of it ran, because another job with its id is in progress in its queue
+    Conflict,
     /// stopped after some tasks may have run
     Abandoned {
         reason: Name,
@@ -54,6 +69,7 @@
             JobAnswer::Completed => "completed",
             JobAnswer::Failed { .. } => "failed",
             JobAnswer::Refused { .. } => "refused",
+            JobAnswer::Conflict => "conflict",
             JobAnswer::Abandoned { .. } => "given-up",
         }
     }
@@ -62,6 +78,7 @@
     pub fn reason(&self) -> &str {
         match self {
             JobAnswer::Completed => "",
+            JobAnswer::Conflict => "another job with this id is in progress in this queue",
             JobAnswer::Failed { reason }
             | JobAnswer::Refused { reason, .. }
             | JobAnswer::Abandoned { reason } => reason,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod gossip;
 mod job;
 mod metrics;
+mod name_claims;
 mod placed_batch;
 mod report;
 mod rpc;
@@ -29,7 +30,7 @@
 pub use crash_history::{CrashHistory, CrashSettings, CrashedTask, Verdict};
 pub use dispatcher::{DispatcherSettings, JobDispatcher};
 pub use gossip::Gossip;
-pub use job::{Job, JobAnswer};
+pub use job::{Job, JobAnswer, JobKey};
 pub use metrics::Metrics;
 pub use report::{AgentReport, BacklogReport, DrainReport, JobReport, RackReport, Report};
 pub use rpc::EntryRpc;
--- a/crates/dispatch/tests/crash_history.rs
+++ b/crates/dispatch/tests/crash_history.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use base::{Name, Uptime};
-use dispatch::{CrashHistory, CrashSettings, CrashedTask, Verdict};
+use base::Uptime;
+use dispatch::{CrashHistory, CrashSettings, CrashedTask, JobKey, Verdict};
 use lease::Crash;
 
 const QUEUE: &str = "orders";
@@ -25,7 +25,7 @@
     a_suspect_runs_alone_until_a_task_of_its_job_ends_well: |mut s| {
         assert_eq!(s.crash(JOB, 0.6), Verdict::RetryAlone);
         assert!(s.is_suspect(JOB));
-        s.history.record_success(&JOB.into());
+        s.history.record_success(&key(JOB, QUEUE));
         assert!(!s.is_suspect(JOB));
     };
     a_suspect_of_two_crashes_fails: |mut s| {
@@ -60,6 +60,13 @@
         assert_eq!(s.earlier_verdict(JOB), Some(Verdict::Fail));
         assert_eq!(s.earlier_verdict("other"), None);
     };
+    crashes_under_a_job_of_another_queue_with_the_same_id_do_not_count: |mut s| {
+        for _ in 0..2 {
+            s.record(JOB, "other", 0, Crash { suspicion: 0.5, proven: true });
+        }
+        assert_eq!(s.earlier_verdict(JOB), None);
+        assert!(!s.is_suspect(JOB));
+    };
     suspects_of_a_queue_are_not_retried_after_several_crashes: |mut s| {
         assert_eq!(s.crash("first", 0.5), Verdict::RetryAlone);
         assert_eq!(s.crash("second", 0.5), Verdict::RetryAlone);
@@ -88,6 +95,10 @@
     };
 }
 
+fn key(id: &str, queue: &str) -> JobKey {
+    JobKey { queue: queue.into(), id: id.into() }
+}
+
 struct Scene {
     history: CrashHistory,
     now: Uptime,
@@ -114,20 +125,15 @@
     fn record(&mut self, job: &str, queue: &str, index: u32, crash: Crash) -> Verdict {
         self.crashed += 1;
         let agent = format!("agent-{}", self.crashed);
-        let task = CrashedTask {
-            job: &job.into(),
-            queue: &queue.into(),
-            index,
-            agent: &agent.as_str().into(),
-        };
+        let task = CrashedTask { job: &key(job, queue), index, agent: &agent.as_str().into() };
         self.history.record(task, crash, self.now)
     }
 
     fn is_suspect(&self, job: &str) -> bool {
-        self.history.is_suspect(&Name::from(job))
+        self.history.is_suspect(&key(job, QUEUE))
     }
 
     fn earlier_verdict(&self, job: &str) -> Option<Verdict> {
-        self.history.earlier_verdict(&Name::from(job))
+        self.history.earlier_verdict(&key(job, QUEUE))
     }
 }
--- a/crates/lease/src/scheduler/batches.rs
+++ b/crates/lease/src/scheduler/batches.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Event, Uptime, invariant};
+use base::{Event, Name, Uptime, invariant};
 
 use crate::{
     Batch, BatchLookup, BatchTask, Class, Effect, Ending, Progress, RunKey, SessionId, TaskRef,
@@ -32,11 +32,7 @@
         let start_deadline = now + batch.max_wait.min(batch.time_left);
         // a task that is here for another batch may run, so the job can't be said not
         // to have run
-        let is_here = |task: &BatchTask| {
-            let task = TaskRef { job: batch.job.clone(), index: task.index };
-            self.run_by_task.contains_key(&task)
-        };
-        let started = tasks.iter().any(is_here);
+        let started = tasks.iter().any(|task| self.is_here(&batch, task.index));
         let class = batch.class;
         if class > Class::default() {
             self.mixed_until = now + MIXED_PERIOD;
@@ -185,7 +181,7 @@
             return Some("backend server is suspect");
         }
         if self.run_by_task.contains_key(&TaskRef { job: batch.job.clone(), index: task.index }) {
-            return Some("another run of the task is here");
+            return Some("a run with the name of the task is here");
         }
         let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
         if !batch.resources.fits(capacity) {
@@ -266,6 +262,16 @@
         }
     }
 
+    /// Whether a task of a batch is here for another batch of the same job.
+    fn is_here(&self, batch: &Batch, index: u32) -> bool {
+        let task = TaskRef { job: batch.job.clone(), index };
+        let run = self.run_by_task.get(&task).and_then(|key| self.runs.get(*key));
+        let other = run.and_then(|run| self.batches.get(run.batch));
+        // older entries name no queue
+        let is_same = |queue: &Name| *queue == batch.queue || queue.is_empty();
+        other.is_some_and(|other| is_same(&other.queue) || batch.queue.is_empty())
+    }
+
     fn runs_of(&self, batch: BatchKey) -> impl Iterator<Item = RunKey> + '_ {
         self.runs.iter().filter(move |(_, r)| r.batch == batch).map(|(key, _)| key)
     }
--- a/crates/lease/src/scheduler/crashes.rs
+++ b/crates/lease/src/scheduler/crashes.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use base::{Event, Uptime};
+use base::{Event, Name, Uptime};
 
 use crate::{
     Crash, CrashReport, Effect, RunKey,
-    run::{State, StopReason, Stopping},
+    run::{Run, State, StopReason, Stopping},
     suspicions::Suspicions,
 };
 
@@ -85,11 +85,13 @@
         let crashed_at = self.silent_since.unwrap_or(now);
         let runs = active.iter().filter_map(|key| self.runs.get(*key));
         // those ordered later can't have caused it
-        let ages = runs.filter_map(|r| Some((&r.task.job, crashed_at.checked_sub(r.ordered_at)?)));
+        let ages =
+            runs.filter_map(|r| Some((self.job_of(r), crashed_at.checked_sub(r.ordered_at)?)));
         let suspicions = Suspicions::new(ages);
         for key in active {
+            let Some(job) = self.runs.get(*key).map(|run| self.job_of(run)) else { continue };
             let Some(run) = self.runs.get_mut(*key) else { continue };
-            let suspicion = suspicions.of(&run.task.job);
+            let suspicion = suspicions.of(&job);
             let proven = run.has_run && run.ordered_at <= crashed_at;
             run.crash = Some(Crash { suspicion, proven });
             Event::RunCrashed.note(&[
@@ -102,4 +104,10 @@
             ]);
         }
     }
+
+    /// Queue and job of a run.
+    fn job_of(&self, run: &Run) -> (Name, Name) {
+        let queue = self.batches.get(run.batch).map(|b| b.queue.clone()).unwrap_or_default();
+        (queue, run.task.job.clone())
+    }
 }
--- a/crates/lease/src/suspicions.rs
+++ b/crates/lease/src/suspicions.rs
@@ -15,24 +15,25 @@
 /// is inversely proportional to its age. The tasks of a job behave alike, so only its
 /// newest run counts. The server may also have crashed by itself.
 pub(crate) struct Suspicions {
-    weights: HashMap<Name, f64>,
+    /// by queue and job
+    weights: HashMap<(Name, Name), f64>,
     /// sum of the weights, and of the server itself
     total: f64,
 }
 
 impl Suspicions {
-    /// `runs` are the active runs at the crash, each with its job and age.
-    pub fn new<'a>(runs: impl Iterator<Item = (&'a Name, Duration)>) -> Self {
-        let mut weights: HashMap<Name, f64> = HashMap::new();
+    /// `runs` are the active runs at the crash, each with its queue and job, and its age.
+    pub fn new(runs: impl Iterator<Item = ((Name, Name), Duration)>) -> Self {
+        let mut weights = HashMap::<_, f64>::new();
         for (job, age) in runs {
-            let known = weights.entry(job.clone()).or_default();
+            let known = weights.entry(job).or_default();
             *known = known.max(weight(age));
         }
         let total = weight(NEUTRAL_AGE) + weights.values().sum::<f64>();
         Self { weights, total }
     }
 
-    pub fn of(&self, job: &Name) -> f64 {
+    pub fn of(&self, job: &(Name, Name)) -> f64 {
         self.weights.get(job).map_or(0.0, |weight| weight / self.total)
     }
 }
