conf, platform: one value out of bounds no longer holds up a version of the configuration

Cause: CurrentFleet::offer checked a version with the bounds of the operators' tool, and refused all of it for one fault. Evidence: E0211 names the priority at every entry and the version in force stays; with a priority of 2 the same version applies. Names of queues, attempts, targets and stretches beyond the bounds, and one route that can't be decoded, did the same.

A version in force is now read part by part: what can't be read is left out, values of the product's own bounds take the nearest one (E0212), queues hold as written; priorities have 64 bits. Versions with unknown fields are still refused, and egretctl still refuses values out of bounds.

Between builds: the text of the document is unchanged for values within the former bounds. An older build refuses others, as it does when it reads them from the store itself.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -38,6 +38,7 @@
     RowUnreadable = 202 Warn "row of the platform's table can't be read"
     FleetConfigApplied = 210 Info "fleet configuration in force"
     FleetConfigUnreadable = 211 Error "fleet configuration can't be read"
+    FleetConfigAdjusted = 212 Warn "parts of the fleet configuration are left out or bounded"
     DrainBegun = 220 Info "data centre drained"
     DrainEnded = 221 Info "data centre no longer drained"
     DrainIgnored = 222 Warn "drain of a data centre ignored"
--- a/crates/conf/src/fleet/check.rs
+++ b/crates/conf/src/fleet/check.rs
@@ -7,9 +7,9 @@
 
 const MAX_NAME_BYTES: usize = 64;
 /// A team's share of a busy service, relative to the other teams.
-const WEIGHT: RangeInclusive<u64> = 1..=1000;
+pub(super) const WEIGHT: RangeInclusive<u64> = 1..=1000;
 /// Task starts per second.
-const QUOTA: RangeInclusive<u64> = 1..=10_000_000;
+pub(super) const QUOTA: RangeInclusive<u64> = 1..=10_000_000;
 const PRIORITY: RangeInclusive<u64> = 0..=1000;
 /// Runs of one task.
 const ATTEMPTS: RangeInclusive<u64> = 1..=1000;
@@ -49,13 +49,21 @@
     None
 }
 
-fn malformed(error: &serde_json::Error) -> Error {
+/// Faults of a document that has fields unknown here; `None` if all are known.
+pub(super) fn unknown_fields(document: &Value) -> Option<Vec<Fault>> {
+    let mut validator = Validator::default();
+    validator.check_fleet(document);
+    validator.has_unknown.then_some(validator.faults)
+}
+
+pub(super) fn malformed(error: &serde_json::Error) -> Error {
     Error::Document(vec![Fault { field: "document".to_owned(), reason: error.to_string() }])
 }
 
 #[derive(Default)]
 struct Validator {
     faults: Vec<Fault>,
+    has_unknown: bool,
 }
 
 impl Validator {
@@ -188,7 +196,10 @@
             let path = format!("{path}.{name}");
             match Values::field(name) {
                 Some(field) => self.check_number(&path, Some(value), &field.range, field.unit),
-                None => self.add_fault(&path, &unknown_value(name)),
+                None => {
+                    self.has_unknown = true;
+                    self.add_fault(&path, &unknown_value(name));
+                }
             }
         }
     }
@@ -240,6 +251,7 @@
             return None;
         };
         for name in object.keys().filter(|n| !known.contains(&n.as_str())) {
+            self.has_unknown = true;
             let reason = format!("unknown field; there are {}", known.join(", "));
             self.add_fault(&format!("{path}.{name}"), &reason);
         }
--- a/crates/conf/src/fleet/current.rs
+++ b/crates/conf/src/fleet/current.rs
@@ -8,7 +8,7 @@
 
 use base::{Event, Name, invariant};
 
-use super::{FleetConfig, QueueRank, parse};
+use super::{FleetConfig, QueueRank, read::read};
 
 /// The fleet configuration in force in this process; its version never decreases.
 #[derive(Default)]
@@ -54,10 +54,14 @@
         if version <= self.version() {
             return;
         }
-        let fleet = match parse(document) {
-            Ok(fleet) => fleet,
+        let (fleet, adjusted) = match read(document) {
+            Ok(read) => read,
             Err(e) => return self.reject(version, &e),
         };
+        if !adjusted.is_empty() {
+            let adjusted = crate::list(&adjusted);
+            Event::FleetConfigAdjusted.log(format_args!("version {version}:\n{adjusted}"));
+        }
         let ranks = fleet.queue_ranks();
         self.replace(Snapshot { version, fleet, text: document.into(), ranks });
     }
--- a/crates/conf/src/fleet/document.rs
+++ b/crates/conf/src/fleet/document.rs
@@ -45,7 +45,7 @@
 
     /// The rank of each queue among those of its service.
     pub fn queue_ranks(&self) -> BTreeMap<Name, QueueRank> {
-        let mut priorities = BTreeMap::<&Name, BTreeSet<u32>>::new();
+        let mut priorities = BTreeMap::<&Name, BTreeSet<u64>>::new();
         for queue in self.queues.values() {
             priorities.entry(&queue.service).or_default().insert(queue.priority);
         }
@@ -91,7 +91,7 @@
     /// prefix of the paths that belong to it
     pub prefix: Name,
     /// 0 is the highest priority
-    pub priority: u32,
+    pub priority: u64,
     /// runs of a task that may fail before its job fails
     pub attempts: u32,
     /// objective: multiple of the longest task of a job
--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod current;
 mod document;
 mod entry_row;
+mod read;
 mod values;
 
 pub use change::{Change, MAX_HISTORY};
--- a/crates/conf/tests/fleet.rs
+++ b/crates/conf/tests/fleet.rs
@@ -88,6 +88,68 @@
     assert_eq!((snapshot.version, snapshot.fleet.defaults.slots), (5, Some(5)));
 }
 
+macro_rules! in_force {
+    ($($(#[$doc:meta])* $name:ident: $document:tt, $check:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let current = CurrentFleet::default();
+            current.offer(5, &json!({ "services": { "old": {} } }).to_string());
+            current.offer(6, &json!($document).to_string());
+            let check: fn(&conf::Snapshot) = $check;
+            check(&current.get());
+        }
+    )*};
+}
+
+in_force! {
+    /// Guards against a process that keeps to an older version, with all its queues, because of
+    /// one value beyond the bounds of the operators' tool.
+    values_out_of_bounds_do_not_hold_up_a_version: {
+        "services": { "a b": { "teams": { "t": { "weight": 0, "quota": 99_000_000 } } } },
+        "queues": {
+            "q/1": { "service": "a b", "host": "h", "prefix": "/1/", "priority": 2000,
+                "attempts": 5000, "stretch": 5000.0, "target_ms": 1_000_000 },
+            "q2": { "service": "elsewhere", "host": "h", "prefix": "/2/", "priority": u64::MAX,
+                "attempts": 1, "stretch": 0.5, "target_ms": 0 }
+        },
+        "defaults": { "deadline_ms": 0, "slots": 5000 }
+    }, |it| {
+        assert_eq!(it.version, 6);
+        let queue = &it.fleet.queues["q/1"];
+        assert_eq!((queue.priority, queue.attempts, queue.target_ms), (2000, 5000, 1_000_000));
+        assert_eq!(it.fleet.queues["q2"].priority, u64::MAX);
+        assert_eq!((it.fleet.defaults.deadline_ms, it.fleet.defaults.slots), (Some(1), Some(1024)));
+        let team = &it.fleet.services["a b"].teams["t"];
+        assert_eq!((team.weight, team.quota), (1, Some(10_000_000)));
+    };
+    /// Guards against the loss of good queues for one that can't be read.
+    an_unreadable_part_is_left_out_alone: {
+        "services": { "a": {}, "b": 3 },
+        "queues": {
+            "bad": { "service": "a", "host": null, "prefix": "/1/", "priority": 0,
+                "attempts": 1, "stretch": 1.6, "target_ms": 60 },
+            "worse": [],
+            "good": { "service": "a", "host": "h", "prefix": "/2/", "priority": 0,
+                "attempts": 1, "stretch": 1.6, "target_ms": 60 }
+        },
+        "exceptions": [
+            { "service": "a", "values": { "slots": "many" }, "reason": "r", "author": "ana", "added_ms": 1 },
+            { "service": "a", "values": { "slots": 9000 }, "reason": "r", "author": "ana", "added_ms": 1 }
+        ]
+    }, |it| {
+        assert_eq!(it.version, 6);
+        assert_eq!(it.fleet.queues.keys().map(|k| &**k).collect::<Vec<_>>(), ["good"]);
+        assert_eq!(it.fleet.services.keys().map(|k| &**k).collect::<Vec<_>>(), ["a"]);
+        assert_eq!(it.fleet.exceptions.len(), 1);
+        assert_eq!(it.fleet.effective("a").slots, 1024);
+    };
+    /// An older process can't know what a field of a newer one means.
+    a_version_with_unknown_fields_is_not_applied: {
+        "services": { "a": { "team": {} } }
+    }, |it| assert_eq!(it.version, 5);
+}
+
 macro_rules! ranks {
     ($($(#[$doc:meta])* $name:ident: [$($priority:literal),+] => [$($rank:literal),+];)*) => {$(
         $(#[$doc])*
@@ -111,6 +173,8 @@
     equal_priorities_have_one_rank: [7, 7, 7] => [0, 0, 0];
     /// A gap must not make a queue less urgent than its place in the order.
     gaps_between_priorities_do_not_count: [1000, 10, 10, 500] => [2, 0, 0, 1];
+    /// The platform sets no highest priority.
+    priorities_have_no_highest_number: [5000, 2000, 0] => [2, 1, 0];
     /// The configuration sets no bound on the number of priorities.
     more_priorities_than_classes_have_ranks_of_their_own: [5, 4, 3, 2, 1, 0] => [5, 4, 3, 2, 1, 0];
 }
