lease, runner, platform: what belongs to one life of a backend server ends with it

The number of the last end was reset after a crash, not after a planned exit, so the ends of the next life counted as known, and their tasks as lost.

lease::Life holds what belongs to one life and is replaced as a whole; its identity is the start time in the server's own listings. Nothing starts before that life has announced itself, and an announcement of another life waits until a listing shows it. A broken or refused connection and a 421 stop starts until the next listing, which is requested at once; the clock of the former life is forgotten. A restart with an earlier start time, after a clock was set back, is a restart too. Agents return what an entry sends before it has answered the heartbeat with the labels of the current life.

Between builds: no message changes. An entry of an earlier build answers the same heartbeat, and gets its tasks back as not run.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -12,6 +12,7 @@
 mod batch;
 mod class;
 mod health;
+mod life;
 mod listing;
 mod load;
 mod order;
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -65,6 +65,8 @@
     Late,
     /// another incarnation of the agent has given orders since
     Fenced,
+    /// another life of the backend server answers now
+    OtherLife,
     /// unavailable; the order was not carried out
     Busy,
     /// the order can't be carried out at all
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -22,6 +22,7 @@
     Resources, RunKey, SessionId, TaskRef,
     batch::{BatchKey, BatchState},
     health::Health,
+    life::{Announced, Life},
     queue::Queue,
     run::{Run, State},
     session::Session,
@@ -68,7 +69,8 @@
 /// for a session that expired meanwhile.
 pub struct Scheduler {
     settings: SchedulerSettings,
-    backend: Option<Backend>,
+    /// current life of the backend server
+    life: Life,
     sessions: HashMap<SessionId, Session>,
     batches: SlotMap<BatchKey, BatchState>,
     batch_by_number: HashMap<(SessionId, u64), BatchKey>,
@@ -96,12 +98,8 @@
     silent_since: Option<Uptime>,
     /// nothing has listened at the address of the backend server since the last listing
     is_gone: bool,
-    /// the last listing had no orphan runs; false before the first listing
-    no_orphans: bool,
-    /// sequence number of the newest end processed
-    last_acked: u64,
-    /// number of each run listed as ended, and when it was seen
-    ended_runs: HashMap<TaskRef, (u32, Uptime)>,
+    /// another life of the backend server may have begun since the newest listing
+    is_doubtful: bool,
     /// no starts before this
     next_start: Uptime,
     is_stopping: bool,
@@ -124,23 +122,11 @@
     Drained,
 }
 
-/// One incarnation of the backend server.
-#[derive(Clone, Debug)]
-struct Backend {
-    started_ms: u64,
-    capacity: Resources,
-    draining: bool,
-    /// earliest time at which it exits, if it said so while it drains
-    leaves_at: Option<Uptime>,
-    /// end of the newest period in which it was cold
-    cold_until: Uptime,
-}
-
 impl Scheduler {
     pub fn new(settings: SchedulerSettings) -> Self {
         Self {
             settings,
-            backend: None,
+            life: Life::default(),
             sessions: HashMap::new(),
             batches: SlotMap::with_key(),
             batch_by_number: HashMap::new(),
@@ -160,9 +146,7 @@
             failed_listings: 0,
             silent_since: None,
             is_gone: false,
-            no_orphans: false,
-            last_acked: 0,
-            ended_runs: HashMap::new(),
+            is_doubtful: false,
             next_start: Uptime::ZERO,
             is_stopping: false,
             centre: CentreState::default(),
@@ -173,7 +157,7 @@
         }
     }
 
-    /// Handles an announcement of the backend server.
+    /// Handles an announcement of the backend server; one of a former life changes nothing.
     pub fn on_announcement(
         &mut self,
         started_ms: u64,
@@ -181,12 +165,16 @@
         phase: impl Into<Phase>,
         now: Uptime,
     ) {
-        self.on_incarnation(started_ms, now);
+        if started_ms < self.life.started_ms {
+            return;
+        }
+        self.on_start_time(started_ms, now);
         let Phase { draining, remaining, cold_remaining } = phase.into();
-        let was_draining = self.backend.as_ref().is_some_and(|b| b.draining);
+        let was_draining = self.is_draining();
         let leaves_at = remaining.filter(|_| draining).map(|remaining| now + remaining);
         let cold_until = self.next_cold_end(cold_remaining, now);
-        self.backend = Some(Backend { started_ms, capacity, draining, leaves_at, cold_until });
+        self.life.has_left = false;
+        self.life.announced = Some(Announced { capacity, draining, leaves_at, cold_until });
         if draining && !was_draining {
             Event::BackendDraining.note(&[
                 ("born", started_ms.into()),
@@ -200,11 +188,24 @@
 
     /// Handles the notice that the backend server exits.
     pub fn on_backend_exit(&mut self, now: Uptime) {
+        self.life.announced = None;
+        self.life.has_left = true;
         self.return_queued("backend server left", now);
-        self.backend = None;
         self.advance(now);
     }
 
+    /// Start time of the life of the backend server that has announced itself, Unix
+    /// milliseconds; 0 if it hasn't.
+    pub fn announced_life(&self) -> u64 {
+        self.life.announced.as_ref().map_or(0, |_| self.life.started_ms)
+    }
+
+    /// Starts nothing until the next listing, which shows whether another life of the
+    /// backend server has begun.
+    pub fn doubt_life(&mut self) {
+        self.is_doubtful = true;
+    }
+
     /// Starts nothing new and lets runs end, because the agent stops.
     pub fn drain(&mut self, now: Uptime) {
         self.is_stopping = true;
@@ -256,7 +257,7 @@
 
     /// Load and capacity for more tasks.
     pub fn load(&self, now: Uptime) -> AgentLoad {
-        let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
+        let capacity = self.life.announced.as_ref().map(|a| a.capacity).unwrap_or_default();
         AgentLoad {
             ready: self.is_ready(now),
             capacity,
@@ -301,10 +302,10 @@
     }
 
     fn free(&self) -> Resources {
-        let Some(backend) = &self.backend else { return Resources::default() };
+        let Some(announced) = &self.life.announced else { return Resources::default() };
         let used =
             self.active_runs().filter_map(|k| self.runs.get(k)).map(|r| self.resources_of(r));
-        backend.capacity.minus(used.fold(Resources::default(), Resources::plus))
+        announced.capacity.minus(used.fold(Resources::default(), Resources::plus))
     }
 
     fn active_runs(&self) -> impl Iterator<Item = RunKey> + '_ {
--- a/crates/lease/src/scheduler/batches.rs
+++ b/crates/lease/src/scheduler/batches.rs
@@ -24,6 +24,27 @@
     /// because they can't start in time, are returned at once. A batch whose number
     /// is known already is not queued again.
     pub fn place(&mut self, id: SessionId, batch: Batch, now: Uptime) -> BatchKey {
+        self.add(id, batch, None, now)
+    }
+
+    /// Returns all tasks of a batch at once.
+    pub fn decline(
+        &mut self,
+        id: SessionId,
+        batch: Batch,
+        reason: &'static str,
+        now: Uptime,
+    ) -> BatchKey {
+        self.add(id, batch, Some(reason), now)
+    }
+
+    fn add(
+        &mut self,
+        id: SessionId,
+        batch: Batch,
+        decline: Option<&'static str>,
+        now: Uptime,
+    ) -> BatchKey {
         self.expire_sessions(now);
         if let Some(key) = self.batch_by_number.get(&(id, batch.number)) {
             return *key;
@@ -57,10 +78,10 @@
         self.batch_by_number.insert((id, batch.number), key);
         let mut queued = 0u32;
         for task in &tasks {
-            if self.queue.len() >= self.settings.max_queued {
+            if decline.is_none() && self.queue.len() >= self.settings.max_queued {
                 self.evict_behind(class, now);
             }
-            match self.refusal(id, key, *task, start_deadline, now) {
+            match decline.or_else(|| self.refusal(id, key, *task, start_deadline, now)) {
                 Some(reason) => self.reject(key, *task, reason, now),
                 None => {
                     queued += 1;
@@ -143,7 +164,7 @@
     }
 
     pub(super) fn forget_ended(&mut self, now: Uptime) {
-        self.ended_runs.retain(|_, (_, at)| *at + ENDED_RUN_RETENTION > now);
+        self.life.forget_ended(ENDED_RUN_RETENTION, now);
         self.barred.retain(|_, at| *at + BATCH_RETENTION > now);
         let is_old = |b: &BatchState| {
             b.kept_until < now && b.ended_at.is_some_and(|at| at + BATCH_RETENTION < now)
@@ -183,7 +204,7 @@
         if self.run_by_task.contains_key(&TaskRef { job: batch.job.clone(), index: task.index }) {
             return Some("a run with the name of the task is here");
         }
-        let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
+        let capacity = self.life.announced.as_ref().map(|b| b.capacity).unwrap_or_default();
         if !batch.resources.fits(capacity) {
             return Some(OVERSIZED);
         }
--- a/crates/lease/src/scheduler/crashes.rs
+++ b/crates/lease/src/scheduler/crashes.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Crash, CrashReport, Effect, RunKey,
+    life::Life,
     run::{Run, State, StopReason, Stopping},
     suspicions::Suspicions,
 };
@@ -28,27 +29,31 @@
         (*at + REPORT_PERIOD > now).then_some(report)
     }
 
-    /// Handles the start time of the backend server; a later one than known means
-    /// a restart, which lost all runs.
-    pub(super) fn on_incarnation(&mut self, started_ms: u64, now: Uptime) {
-        let Some(backend) = &mut self.backend else { return };
-        if started_ms <= backend.started_ms {
+    /// Handles the start time of the backend server, if it told one; another one than known
+    /// means a restart, which lost all runs.
+    pub(super) fn on_start_time(&mut self, started_ms: u64, now: Uptime) {
+        if started_ms == 0 || started_ms == self.life.started_ms {
             return;
         }
-        backend.started_ms = started_ms;
-        self.last_acked = 0;
-        self.ended_runs.clear();
-        self.no_orphans = false;
+        let has_announced = self.life.announced.is_some();
+        if self.life.started_ms == 0 && !has_announced {
+            // the first one of this process
+            self.life.started_ms = started_ms;
+            return;
+        }
+        let is_crash = !self.life.is_leaving();
+        if is_crash && !self.is_gone {
+            self.report_crash(now);
+        }
+        self.life = Life::new(started_ms);
         let active: Vec<RunKey> = self.active_runs().collect();
         Event::BackendRestarted
             .note(&[("born", started_ms.into()), ("runs", (active.len() as u64).into())]);
         self.effects.push(Effect::RaiseFence);
-        if !self.is_gone {
-            self.report_crash(now);
-        }
-        if !self.is_draining() {
+        if is_crash {
             self.record_crash(&active, now);
         }
+        self.return_queued("backend server started anew", now);
         for key in active {
             // a recent order may have reached the new incarnation, or may yet; it is not
             // repeated here, as it may have caused the crash
@@ -67,7 +72,7 @@
     /// Makes a crash known to entries as soon as it is noticed, while its runs may still
     /// have to be waited for.
     pub(super) fn report_crash(&mut self, now: Uptime) {
-        if self.backend.is_none() || self.is_draining() {
+        if self.life.announced.is_none() || self.life.is_leaving() {
             return;
         }
         let number = self.crash_report.as_ref().map_or(0, |(report, _)| report.number) + 1;
--- a/crates/lease/src/scheduler/forecast.rs
+++ b/crates/lease/src/scheduler/forecast.rs
@@ -30,7 +30,7 @@
     }
 
     fn cold_until(&self) -> Uptime {
-        self.backend.as_ref().map(|b| b.cold_until).unwrap_or_default()
+        self.life.announced.as_ref().map(|b| b.cold_until).unwrap_or_default()
     }
 
     /// End of the newest cold period after an announcement that it lasts for
@@ -69,7 +69,7 @@
 
     /// Order and expected times of the starts of the queued runs.
     pub(super) fn plan(&self, run_factor: f64, now: Uptime) -> Plan<'_> {
-        let capacity = self.backend.as_ref().map(|b| b.capacity).unwrap_or_default();
+        let capacity = self.life.announced.as_ref().map(|b| b.capacity).unwrap_or_default();
         let mut occupancy = Occupancy::new(now.max(self.next_start), capacity, self.free());
         for run in self.runs.values().filter(|r| r.is_active()) {
             occupancy.add_run(self.expected_end(run, run_factor, now), self.resources_of(run));
@@ -118,7 +118,7 @@
 
     /// Expected time until `cpu` millicores are free, with `free` now.
     pub(super) fn time_to_free(&self, cpu: f64, free: Resources) -> Duration {
-        let Some(backend) = &self.backend else { return Duration::ZERO };
+        let Some(backend) = &self.life.announced else { return Duration::ZERO };
         let missing = (cpu - f64::from(free.cpu)).max(0.0);
         self.speed.mean().mul_f64(missing / f64::from(backend.capacity.cpu.max(1)))
     }
--- a/crates/lease/src/scheduler/leases.rs
+++ b/crates/lease/src/scheduler/leases.rs
@@ -25,8 +25,8 @@
     /// longer start.
     pub fn lease_for_start(&mut self, key: RunKey, now: Uptime) -> Option<Uptime> {
         self.expire_sessions(now);
-        // the drain may have begun between the order and its sending
-        if self.centre == CentreState::Drained {
+        // either may have begun between the order and its sending
+        if self.centre == CentreState::Drained || self.is_doubtful {
             return None;
         }
         let run = self.runs.get(key).filter(|r| r.state == State::Starting)?;
@@ -64,7 +64,7 @@
         let active: Vec<RunKey> = self.active_runs().collect();
         Event::LeasesExpired
             .note(&[("runs", (active.len() as u64).into()), ("gone", self.is_gone.into())]);
-        let reason = if self.is_gone && !self.is_draining() {
+        let reason = if self.is_gone && !self.life.is_leaving() {
             self.record_crash(&active, now);
             "backend server crashed"
         } else {
--- a/crates/lease/src/scheduler/listings.rs
+++ b/crates/lease/src/scheduler/listings.rs
@@ -29,7 +29,8 @@
             Event::BackendResponsive.note(&[("missed", self.failed_listings.into())]);
         }
         self.failed_listings = 0;
-        self.on_incarnation(listing.started_ms, now);
+        self.is_doubtful = false;
+        self.on_start_time(listing.started_ms, now);
         self.silent_since = None;
         self.is_gone = false;
         self.expire_sessions(now);
@@ -55,13 +56,14 @@
         for key in unlisted {
             self.on_unlisted(key, listing.requested_at, now);
         }
-        self.no_orphans = !has_orphans;
+        self.life.no_orphans = !has_orphans;
         self.advance(now);
     }
 
     /// Handles the failure of a listing because nothing listens at the address of the
     /// backend server.
     pub fn on_not_listening(&mut self, now: Uptime) {
+        self.is_doubtful = true;
         let was_gone = std::mem::replace(&mut self.is_gone, true);
         self.on_listing_failed(now);
         if !was_gone {
@@ -83,7 +85,7 @@
 
     /// Sequence number of the newest end processed.
     pub fn last_acked(&self) -> u64 {
-        self.last_acked
+        self.life.last_acked
     }
 
     /// Handles a run that the backend server listed as running at `seen_at`. False
@@ -92,7 +94,7 @@
         let key = self.run_by_task.get(&row.task).copied();
         let Some((key, run)) = key.and_then(|k| Some((k, self.runs.get_mut(k)?))) else {
             // this listing was overtaken by the one with the end of the run
-            if self.ended_runs.get(&row.task).is_some_and(|(run, _)| *run >= row.run) {
+            if self.life.ended_runs.get(&row.task).is_some_and(|(run, _)| *run >= row.run) {
                 return true;
             }
             self.stop_orphan(row);
@@ -154,11 +156,11 @@
     }
 
     fn on_run_end(&mut self, row: &RunEnd, now: Uptime) {
-        if row.sequence <= self.last_acked {
+        if row.sequence <= self.life.last_acked {
             return;
         }
-        self.last_acked = row.sequence;
-        self.ended_runs.insert(row.task.clone(), (row.run, now));
+        self.life.last_acked = row.sequence;
+        self.life.ended_runs.insert(row.task.clone(), (row.run, now));
         let Some(key) = self.run_by_task.get(&row.task).copied() else { return };
         let Some(run) = self.runs.get(key) else { return };
         if run.number != row.run || !run.is_active() {
--- a/crates/lease/src/scheduler/readiness.rs
+++ b/crates/lease/src/scheduler/readiness.rs
@@ -13,7 +13,7 @@
 
     /// Whether the backend server has announced that it drains.
     pub fn is_draining(&self) -> bool {
-        self.backend.as_ref().is_some_and(|b| b.draining)
+        self.life.announced.as_ref().is_some_and(|a| a.draining)
     }
 
     pub(super) fn record_success(&mut self) {
@@ -34,8 +34,10 @@
 
     /// Why nothing new may start; `None` when it may.
     pub(super) fn unready_reason(&self) -> Option<&'static str> {
-        let Some(backend) = &self.backend else { return Some("no backend server yet") };
-        if backend.draining {
+        let Some(announced) = &self.life.announced else {
+            return Some("backend server has not announced itself");
+        };
+        if announced.draining {
             return Some("backend server leaves");
         }
         if self.is_stopping {
@@ -47,7 +49,7 @@
         if self.failed_listings >= MAX_FAILED_LISTINGS {
             return Some("backend server is silent");
         }
-        if !self.no_orphans {
+        if !self.life.no_orphans {
             return Some("runs of an earlier process go on");
         }
         None
--- a/crates/lease/src/scheduler/starts.rs
+++ b/crates/lease/src/scheduler/starts.rs
@@ -47,7 +47,7 @@
     }
 
     pub(super) fn start_queued(&mut self, now: Uptime) {
-        if self.unready_reason().is_some() || self.next_start > now {
+        if self.unready_reason().is_some() || self.is_doubtful || self.next_start > now {
             return;
         }
         for (slot, resources) in self.next_starts(now) {
@@ -139,7 +139,9 @@
                 run.number = run.number.saturating_mul(2);
                 self.requeue(key, now);
             }
-            RefusalReason::Late | RefusalReason::Fenced => self.requeue(key, now),
+            RefusalReason::Late | RefusalReason::Fenced | RefusalReason::OtherLife => {
+                self.requeue(key, now);
+            }
             RefusalReason::Busy => {
                 self.record_failure(now);
                 self.end_run(key, Ending::NotRun, "backend server refused it", now);
--- a/crates/lease/src/scheduler/stops.rs
+++ b/crates/lease/src/scheduler/stops.rs
@@ -40,7 +40,9 @@
     /// Stops the runs that can't end before the backend server exits, so that their
     /// tasks run elsewhere earlier.
     pub(super) fn stop_unfinishable(&mut self, now: Uptime) {
-        let Some(leaves_at) = self.backend.as_ref().and_then(|b| b.leaves_at) else { return };
+        let Some(leaves_at) = self.life.announced.as_ref().and_then(|b| b.leaves_at) else {
+            return;
+        };
         let is_unfinishable = |run: &Run| {
             matches!(run.state, State::Starting | State::Running(_))
                 && self.expected_end(run, 1.0, now) > leaves_at
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -332,6 +332,71 @@
         s.restart(3);
         assert_eq!(s.scheduler.crashes(), 1);
     };
+    // it may be of another kind, with other labels and another capacity
+    nothing_starts_on_a_restarted_backend_server_before_its_announcement: |mut s| {
+        let waiting = s.place(1, 3, 300);
+        s.starts();
+        s.list_restarted(2);
+        assert_eq!(s.endings(waiting), [Ending::NotRun], "the queue goes elsewhere");
+        let now = s.now;
+        assert!(!s.scheduler.load(now).ready);
+        assert_eq!(s.scheduler.announced_life(), 0);
+        let key = s.place(2, 1, 300);
+        assert_eq!(s.endings(key), [Ending::NotRun]);
+        assert!(s.starts().is_empty());
+        let capacity = Resources { cpu: CORES, ..Resources::default() };
+        s.scheduler.on_announcement(1, capacity, false, now);
+        assert!(!s.scheduler.load(now).ready, "of the former life");
+        s.scheduler.on_announcement(2, capacity, false, now);
+        assert!(s.scheduler.load(now).ready);
+        assert_eq!(s.scheduler.announced_life(), 2);
+    };
+    // review-standin planned-restart: done tasks counted as lost until as many had ended
+    ends_of_a_server_that_left_do_not_hide_those_of_the_next: |mut s| {
+        let first = s.place(1, 2, 300);
+        for (sequence, order) in (1..).zip(s.starts()) {
+            s.answer(&order, StartOutcome::Accepted);
+            s.end(sequence, &order, EndCause::Done);
+        }
+        assert_eq!(s.endings(first), [Ending::Done, Ending::Done]);
+        let now = s.now;
+        s.scheduler.on_backend_exit(now);
+        s.restart(2);
+        let key = s.place(2, 1, 300);
+        let order = s.starts().remove(0);
+        s.answer(&order, StartOutcome::Accepted);
+        let row = RunEnd { sequence: 1, task: order.task.clone(), run: order.run, cause: EndCause::Done };
+        s.now += Duration::from_millis(5);
+        let now = s.now;
+        let listing = Listing { requested_at: now, started_ms: 2, running: vec![], ended: vec![row] };
+        s.scheduler.on_listing(&listing, now);
+        assert_eq!(s.endings(key), [Ending::Done]);
+        assert_eq!(s.scheduler.last_acked(), 1);
+    };
+    // the clock of its VM was set back between the two
+    a_server_that_started_anew_with_an_earlier_time_is_a_new_one: |mut s| {
+        s.restart(9);
+        s.list_restarted(4);
+        assert_eq!(s.scheduler.announced_life(), 0);
+        s.restart(4);
+        assert_eq!(s.scheduler.announced_life(), 4);
+    };
+    a_planned_exit_is_no_crash_of_the_runs_left: |mut s| {
+        s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        let now = s.now;
+        s.scheduler.on_backend_exit(now);
+        s.restart(2);
+        assert_eq!(s.scheduler.crashes(), 0);
+    };
+    nothing_starts_while_another_life_may_have_begun: |mut s| {
+        s.scheduler.doubt_life();
+        s.place(1, 1, 300);
+        assert!(s.starts().is_empty());
+        s.list(&[]);
+        assert_eq!(s.starts().len(), 1);
+    };
     an_unanswered_start_is_voided_in_the_next_incarnation: |mut s| {
         let key = s.place(1, 1, 300);
         let order = s.starts().remove(0);
@@ -1015,11 +1080,18 @@
     }
 
     /// Handles the first listing of a later incarnation of the backend server.
-    fn restart(&mut self, started_ms: u64) {
+    fn list_restarted(&mut self, started_ms: u64) {
         let listing = Listing { requested_at: self.now, started_ms, ..Listing::default() };
         self.scheduler.on_listing(&listing, self.now);
     }
 
+    /// Handles the first listing and the first announcement of a later incarnation.
+    fn restart(&mut self, started_ms: u64) {
+        self.list_restarted(started_ms);
+        let capacity = Resources { cpu: CORES, ..Resources::default() };
+        self.scheduler.on_announcement(started_ms, capacity, false, self.now);
+    }
+
     /// Handles a listing with one ended run; other runs go on.
     fn end(&mut self, sequence: u64, order: &StartOrder, cause: EndCause) {
         let row = RunEnd { sequence, task: order.task.clone(), run: order.run, cause };
--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -400,7 +400,11 @@
                 agent.scheduler.settle_lease(lease_end, delivery);
             }
             if is_answered {
-                agent.scheduler.on_listing(&agent.backend.listing(now), now);
+                let listing = agent.backend.listing(now);
+                agent.scheduler.on_listing(&listing, now);
+                // nothing starts before a restarted server has announced itself
+                let capacity = Resources { cpu: 1000, ..Resources::default() };
+                agent.scheduler.on_announcement(listing.started_ms, capacity, false, now);
             } else {
                 match outage {
                     Some(Outage::Refused) => agent.scheduler.on_not_listening(now),
--- a/crates/runner/src/backend.rs
+++ b/crates/runner/src/backend.rs
@@ -16,6 +16,9 @@
     /// nothing was sent, as nothing listens at its address
     #[error("backend server does not listen: {0}")]
     NotListening(String),
+    /// the connection ended before the answer; the call may have taken effect
+    #[error("backend server has closed the connection: {0}")]
+    Disconnected(String),
     /// the call may have taken effect, or may still do so
     #[error("backend server gave no answer: {0}")]
     Indeterminate(String),
@@ -84,6 +87,6 @@
     /// Renews the lease of all runs and returns a listing of them.
     fn renew(&self, renewal: Renewal) -> LocalBoxFuture<'_, Result<RenewalReply>>;
 
-    /// Addresses orders to this incarnation of the backend server only.
-    fn set_instance(&self, id: &Name);
+    /// Addresses calls to the life of the backend server with this id only; to any if `None`.
+    fn set_instance(&self, id: Option<&Name>);
 }
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -59,6 +59,10 @@
     /// wake the calls that wait for progress of a batch
     notifiers: RefCell<SecondaryMap<BatchKey, Rc<Notify>>>,
     announcement: RefCell<Option<Announcement>>,
+    /// announcement of another life than the newest listing shows, until one shows it
+    unconfirmed: RefCell<Option<Announcement>>,
+    /// start time of the life that the newest listing shows; 0 if it told none
+    listed_life: Cell<Option<u64>>,
     /// state of this agent's data centre
     centre: Cell<CentreState>,
     /// when the announced backend server gave notice that it leaves
@@ -66,9 +70,10 @@
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
-    /// whether this agent accepted work after the last change of state
-    was_ready: Cell<bool>,
-    /// notified when it starts or ceases to accept work
+    /// whether this agent accepted work after the last change of state, and for which life
+    /// of the backend server
+    was_ready: Cell<(bool, u64)>,
+    /// notified when that changes
     pub(crate) ready_changed: Notify,
 }
 
@@ -89,6 +94,8 @@
             wake: Notify::new(),
             notifiers: RefCell::default(),
             announcement: RefCell::new(None),
+            unconfirmed: RefCell::new(None),
+            listed_life: Cell::default(),
             centre: Cell::default(),
             left_at: Cell::default(),
             listing_requested: Cell::new(false),
@@ -110,11 +117,23 @@
 
     /// Handles an announcement of the backend server; returns false if it is of
     /// an earlier incarnation, older than the last one, or of one that has just left.
+    /// Others than the backend server may send one, so it counts only once a listing shows
+    /// the life that it is of.
     pub fn on_announcement(self: &Rc<Self>, announcement: Announcement) -> bool {
         if self.is_outdated(&announcement) {
             return false;
         }
-        self.backend.set_instance(&announcement.id);
+        if self.listed_life.get().is_some_and(|life| life == announcement.started_ms || life == 0) {
+            self.apply_announcement(announcement);
+        } else {
+            *self.unconfirmed.borrow_mut() = Some(announcement);
+            self.check_life();
+        }
+        true
+    }
+
+    fn apply_announcement(self: &Rc<Self>, announcement: Announcement) {
+        self.backend.set_instance(Some(&announcement.id));
         let (started_ms, capacity) = (announcement.started_ms, announcement.capacity);
         let phase = Phase {
             draining: announcement.draining,
@@ -126,7 +145,6 @@
         self.with_scheduler(|scheduler, now| {
             scheduler.on_announcement(started_ms, capacity, phase, now)
         });
-        true
     }
 
     /// Sets the state of this agent's data centre.
@@ -143,6 +161,7 @@
 
     /// Handles the announced exit of the backend server with this id.
     pub fn on_departure(self: &Rc<Self>, id: &str) {
+        self.unconfirmed.borrow_mut().take_if(|a| &*a.id == id);
         let known = self.announcement.borrow().as_ref().is_some_and(|a| &*a.id == id);
         if known {
             self.left_at.set(Some(uptime()));
@@ -150,9 +169,18 @@
         }
     }
 
-    /// Kind and rack of the backend server.
+    /// Kind and rack of the backend server; empty until its current life has announced
+    /// itself.
     pub fn labels(&self) -> Vec<Name> {
-        self.announcement.borrow().as_ref().map(|a| a.labels.clone()).unwrap_or_default()
+        let (announcement, life) = (self.announcement.borrow(), self.life());
+        let current = announcement.as_ref().filter(|a| a.started_ms == life);
+        current.map(|a| a.labels.clone()).unwrap_or_default()
+    }
+
+    /// Start time of the life of the backend server that has announced itself, Unix
+    /// milliseconds; 0 if it hasn't.
+    pub fn life(&self) -> u64 {
+        self.scheduler.borrow().announced_life()
     }
 
     pub fn load(&self) -> AgentLoad {
@@ -227,6 +255,18 @@
         self.wait_status(key, 0).await
     }
 
+    /// Returns all tasks of a batch at once.
+    pub async fn decline(
+        self: &Rc<Self>,
+        session: SessionId,
+        batch: Batch,
+        reason: &'static str,
+    ) -> BatchStatus {
+        let key =
+            self.with_scheduler(|scheduler, now| scheduler.decline(session, batch, reason, now));
+        self.wait_status(key, 0).await
+    }
+
     /// Waits until there is more progress of a batch than the first `after` results.
     /// The batch was sent at `sent_at` or later, on this agent's clock, for a caller
     /// who waited for `time_left` from then on.
@@ -281,13 +321,50 @@
     }
 
     fn is_outdated(&self, new: &Announcement) -> bool {
+        let (known, unconfirmed) = (self.announcement.borrow(), self.unconfirmed.borrow());
+        let listed = self.listed_life.get().filter(|life| *life > 0);
+        let life = listed.or_else(|| known.as_ref().map(|k| k.started_ms));
+        if life.is_some_and(|life| new.started_ms < life) {
+            return true;
+        }
+        let is_older = |a: &Announcement| {
+            new.id == a.id && new.started_ms == a.started_ms && new.sequence <= a.sequence
+        };
+        let has_left = || {
+            let of_known = |k: &Announcement| new.id == k.id && new.started_ms == k.started_ms;
+            let recently = self.left_at.get().is_some_and(|at| uptime() < at + DEPARTURE_PERIOD);
+            recently && known.as_ref().is_some_and(of_known)
+        };
+        known.as_ref().is_some_and(is_older)
+            || unconfirmed.as_ref().is_some_and(is_older)
+            || has_left()
+    }
+
+    /// Finds out which life of the backend server answers; nothing starts before that.
+    fn check_life(self: &Rc<Self>) {
+        self.doubt_life();
+        self.request_listing();
+    }
+
+    fn doubt_life(&self) {
+        self.backend.set_instance(None);
+        // the clock of another life begins anew
+        self.backend_clock.set(None);
+        self.scheduler.borrow_mut().doubt_life();
+    }
+
+    /// Handles the start time in a listing: an announcement of that life counts from now on.
+    fn on_listed_life(self: &Rc<Self>, life: u64) {
+        self.listed_life.set(Some(life));
+        let is_listed = |a: &mut Announcement| life == 0 || a.started_ms == life;
+        let confirmed = self.unconfirmed.borrow_mut().take_if(is_listed);
+        if let Some(announcement) = confirmed {
+            return self.apply_announcement(announcement);
+        }
         let known = self.announcement.borrow();
-        let Some(known) = known.as_ref() else { return false };
-        if new.id == known.id && new.started_ms == known.started_ms {
-            let has_left = self.left_at.get().is_some_and(|at| uptime() < at + DEPARTURE_PERIOD);
-            return has_left || new.sequence <= known.sequence;
+        if let Some(known) = known.as_ref().filter(|k| life == 0 || k.started_ms == life) {
+            self.backend.set_instance(Some(&known.id));
         }
-        new.started_ms < known.started_ms
     }
 
     async fn wait_status(self: &Rc<Self>, key: BatchKey, after: usize) -> BatchStatus {
@@ -318,7 +395,7 @@
     }
 
     fn apply_effects(self: &Rc<Self>) {
-        let ready = self.is_ready();
+        let ready = (self.is_ready(), self.life());
         if self.was_ready.replace(ready) != ready {
             self.ready_changed.notify_waiters();
         }
@@ -401,12 +478,13 @@
         }
         match reply {
             Ok(reply) => {
-                self.record_clock(reply.clock);
                 // a listing requested before the newest one is outdated
                 if requested_at >= self.newest_listing.get() {
                     self.newest_listing.set(requested_at);
+                    self.record_clock(reply.clock);
                     let listing = lease::Listing { requested_at, ..reply.listing };
                     self.with_scheduler(|scheduler, now| scheduler.on_listing(&listing, now));
+                    self.on_listed_life(listing.started_ms);
                 }
                 true
             }
@@ -418,10 +496,17 @@
                 // the backend server may have restarted: its next incarnation must
                 // refuse the earlier orders even before the restart is known
                 self.raise_fence();
+                let is_restart = may_be_restart(&e);
+                if is_restart {
+                    self.doubt_life();
+                }
                 self.with_scheduler(|scheduler, now| match e {
                     Error::NotListening(_) => scheduler.on_not_listening(now),
                     _ => scheduler.on_listing_failed(now),
                 });
+                if is_restart && !matches!(e, Error::NotListening(_)) {
+                    self.request_listing();
+                }
                 false
             }
         }
@@ -457,15 +542,17 @@
                 if let Some(clock) = clock {
                     self.record_clock(clock);
                 }
-                if reason == RefusalReason::Fenced {
-                    self.on_fence_refused(terms.fence);
+                match reason {
+                    RefusalReason::Fenced => self.on_fence_refused(terms.fence),
+                    RefusalReason::OtherLife => self.check_life(),
+                    _ => {}
                 }
                 StartOutcome::Rejected(reason)
             }
             Err(Error::Unreachable(_) | Error::NotListening(_)) => {
                 StartOutcome::Rejected(RefusalReason::Busy)
             }
-            Err(Error::Indeterminate(_)) => StartOutcome::Indeterminate,
+            Err(Error::Indeterminate(_) | Error::Disconnected(_)) => StartOutcome::Indeterminate,
         };
         self.with_scheduler(|scheduler, now| scheduler.on_start_outcome(key, outcome, now));
     }
@@ -481,6 +568,7 @@
             Err(Error::Refused { reason: RefusalReason::Fenced, .. }) => {
                 self.on_fence_refused(fence)
             }
+            Err(Error::Refused { reason: RefusalReason::OtherLife, .. }) => self.check_life(),
             // the scheduler repeats the order
             Err(_) => {}
         }
@@ -520,7 +608,7 @@
         let elapsed = uptime().saturating_sub(requested_at);
         // a longer time includes a suspension of this process
         let is_measured = wait.is_zero() && elapsed <= AdaptiveTimeout::MAX_MEASURED;
-        if is_measured && !matches!(answer, Err(Error::Indeterminate(_))) {
+        if is_measured && !matches!(answer, Err(Error::Indeterminate(_) | Error::Disconnected(_))) {
             self.update_timeout(|t| t.record_answer(elapsed));
         }
         answer
@@ -570,6 +658,16 @@
     }
 }
 
+/// Whether another life of the backend server may have begun before this failure of a call.
+fn may_be_restart(e: &Error) -> bool {
+    matches!(
+        e,
+        Error::NotListening(_)
+            | Error::Disconnected(_)
+            | Error::Refused { reason: RefusalReason::OtherLife, .. }
+    )
+}
+
 /// Waits for an answer up to `limit`, and a little longer if the process was suspended
 /// meanwhile: the timer then fires before an answer that has arrived can be read.
 async fn timeout_awake<T>(
--- a/crates/runner/src/entry_sessions.rs
+++ b/crates/runner/src/entry_sessions.rs
@@ -227,7 +227,8 @@
             if peer.link.is_down() {
                 return false;
             }
-            if driver.is_ready() != peer.sent_ready.get() {
+            let has_new_life = driver.life() != peer.state.known_life();
+            if driver.is_ready() != peer.sent_ready.get() || has_new_life {
                 return true;
             }
             let session = peer.session.get();
@@ -252,7 +253,7 @@
     async fn join(&self, peer: &EntryLink, known: &KnownEntry) -> wire::Result<()> {
         let State { identity, driver, fleet, drains, exchange, .. } = &*self.state;
         let snapshot = fleet.get();
-        let load = driver.load();
+        let (load, life) = (driver.load(), driver.life());
         let inline = exchange.is_inline_only(peer.link.address());
         let known_version = peer.config_version.get();
         let behind = known_version > 0 && known_version < snapshot.version;
@@ -284,6 +285,7 @@
         let res = req.send().promise.await?;
         let welcome = read_welcome(res.get()?.get_welcome()?)?;
         peer.sent_ready.set(load.ready);
+        peer.state.set_known_life(life);
         self.on_welcome(peer, &welcome, sent_at);
         // the entry has `worker` now, and what it knows of drains is in force
         peer.state.set_joined();
--- a/crates/runner/src/link_state.rs
+++ b/crates/runner/src/link_state.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Default)]
 pub struct LinkState {
     phase: Cell<Phase>,
+    /// life of the backend server in the last heartbeat that the entry has answered
+    known_life: Cell<u64>,
     changed: Notify,
 }
 
@@ -25,6 +27,15 @@
         self.phase.get() == Phase::Joined
     }
 
+    /// Life of the backend server that the entry knows, by its start time; 0 for none.
+    pub fn known_life(&self) -> u64 {
+        self.known_life.get()
+    }
+
+    pub fn set_known_life(&self, life: u64) {
+        self.known_life.set(life);
+    }
+
     pub fn is_closed(&self) -> bool {
         self.phase.get() == Phase::Closed
     }
--- a/crates/runner/src/worker.rs
+++ b/crates/runner/src/worker.rs
@@ -12,6 +12,9 @@
 
 use crate::{Driver, link_state::LinkState};
 
+/// Reason of what is returned because its entry does not know the backend server yet.
+const UNKNOWN_LIFE: &str = "backend server started anew";
+
 /// RPC server for one entry over one link.
 pub struct LinkWorker {
     driver: Rc<Driver>,
@@ -48,7 +51,11 @@
         let params = params.get()?;
         let session = self.begin_call(params.get_session(), params.get_heard_us()).await?;
         let batch = read_batch(params.get_batch()?).map_err(|e| Error::failed(e.to_string()))?;
-        let status = self.driver.place(session, batch).await;
+        let status = match self.link.known_life() == self.driver.life() {
+            true => self.driver.place(session, batch).await,
+            // chosen by the labels and the capacity of a former life
+            false => self.driver.decline(session, batch, UNKNOWN_LIFE).await,
+        };
         write_batch_status(results.get().init_progress(), &status);
         Ok(())
     }
--- a/crates/runner/tests/drain.rs
+++ b/crates/runner/tests/drain.rs
@@ -59,7 +59,7 @@
         .boxed_local()
     }
 
-    fn set_instance(&self, _: &base::Name) {}
+    fn set_instance(&self, _: Option<&base::Name>) {}
 }
 
 /// Entry that sends a task as soon as it gets the first heartbeat, and answers the
