platform, platform_client, wire: an odd element of another writer hides no other element of its list

With such an element in a listing its agent takes no work. No process ended.

Cause: a list was parsed in one go, so what the parser refuses in one element made all of it malformed, at each read. Evidence: E0200 with `recursion limit exceeded` or `number out of range` and no E0201; E0822 of the agent; both end when the row is gone.

Elements are now kept as text and decoded one by one (platform_client::Elements): rows of the store and of the product's own interface, runs and ends in listings, there cell by cell. Addresses that entries name are read one by one too.

Between builds: no message changes. An older agent still loses its link over an odd address, which builds so far never send.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -98,6 +98,7 @@
     EntryDiscovered = 832 Info "new entry discovered"
     SessionClosed = 833 Info "session closed: the entry has enough other agents"
     RunCrashed = 834 Warn "run was active when its backend server crashed"
+    ListingUnreadable = 835 Warn "elements of the backend server's listings can't be read"
 }
 
 impl Event {
--- a/crates/conf/src/fleet/entry_row.rs
+++ b/crates/conf/src/fleet/entry_row.rs
@@ -38,9 +38,10 @@
         format!("{}{name}", Self::PREFIX)
     }
 
-    /// Whether the row was written recently enough for the entry to be alive.
+    /// Whether the row was written recently enough for the entry to be alive. A time far
+    /// ahead would keep it for ever.
     pub fn is_live(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.seen_ms) <= Self::EXPIRY_MS
+        now_ms.abs_diff(self.seen_ms) <= Self::EXPIRY_MS
     }
 
     /// Adds the newest process and drops those beyond the bounds on age and number.
--- a/crates/conf/tests/fleet.rs
+++ b/crates/conf/tests/fleet.rs
@@ -214,6 +214,8 @@
     let row = EntryRow { http: address, rpc: address, seen_ms: 1_000_000, processes: Vec::new() };
     assert!(row.is_live(1_000_000 + EntryRow::REFRESH_INTERVAL_MS));
     assert!(!row.is_live(1_000_000 + 5 * EntryRow::REFRESH_INTERVAL_MS));
+    // a row of another writer with a time far ahead
+    assert!(!row.is_live(1_000_000 - 5 * EntryRow::REFRESH_INTERVAL_MS));
 }
 
 #[test]
--- a/crates/platform_client/src/http.rs
+++ b/crates/platform_client/src/http.rs
@@ -1,10 +1,11 @@
 use std::time::Duration;
 
 use awc::{Client, ClientResponse, http::StatusCode};
+use base::Event;
 use futures::{FutureExt, future::LocalBoxFuture};
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 
-use crate::{Error, KeyedRow, ObjectStore, Result, Row, Table, Version};
+use crate::{Elements, Error, KeyedRow, ObjectStore, Result, Row, Table, Version};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -35,7 +36,11 @@
         let url = format!("{}/tables/egret?prefix={prefix}", self.url);
         let mut res = self.client.get(url).send().await.map_err(unavailable)?;
         match res.status() {
-            StatusCode::OK => parse(&read_text(&mut res).await?),
+            StatusCode::OK => {
+                let text = read_text(&mut res).await?;
+                let rows = parse::<Elements<'_>>(&text)?;
+                Ok(rows.decode(|reason| Event::RowUnreadable.note(&[("why", (&*reason).into())])))
+            }
             status => Err(Error::Unavailable(status.to_string())),
         }
     }
@@ -111,7 +116,7 @@
     parse(&read_text(res).await?)
 }
 
-fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
+fn parse<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T> {
     serde_json::from_str(text).map_err(|e| Error::Malformed(e.to_string()))
 }
 
--- a/crates/platform_client/src/lib.rs
+++ b/crates/platform_client/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod availability;
 mod commit;
+mod elements;
 mod http;
 
 use futures::future::LocalBoxFuture;
@@ -12,6 +13,7 @@
 
 pub use availability::Availability;
 pub use commit::{RowWrite, commit};
+pub use elements::Elements;
 pub use http::HttpPlatform;
 
 /// Failure of a call to the platform.
--- a/crates/wire/src/lease.rs
+++ b/crates/wire/src/lease.rs
@@ -148,11 +148,12 @@
 }
 
 pub fn read_welcome(from: welcome::Reader<'_>) -> Result<Welcome> {
-    let entries = from.get_entries()?.iter().map(|e| read_address(&read_name(e)?));
+    // one odd address must not hide the others
+    let entries = from.get_entries()?.iter().filter_map(|e| read_address(&read_name(e).ok()?).ok());
     Ok(Welcome {
         name: read_name(from.get_name())?,
         incarnation: from.get_incarnation(),
-        entries: entries.collect::<Result<_>>()?,
+        entries: entries.collect(),
         config_version: from.get_version(),
         config: from.has_document().then(|| read_name(from.get_document())).transpose()?,
         surplus: from.get_spare(),
