--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -562,9 +562,11 @@
             fleet.close()
 
     async def judge():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             broken = await run()
-        except Exception as e:
+        except (Exception, asyncio.CancelledError) as e:
             record.note("could not run: %r" % e)
             os._exit(2)
         for line in broken:
