dispatch: a job read late starts nothing when its caller has left

Callers whose entry was cut off or suspended got no answer, closed their connections and sent their jobs to another entry.

Cause: the end of a connection arrives with the late request, or right behind it. The HTTP server polls the handler before it acts on the end, and the first poll of a job sent its tasks. The caller's time counts from the moment at which the entry reads the request.

E0807 now says how many batches were under way.

The fix: a job waits for a turn of the server before it sends tasks, so that an end that was read drops it first; a waiting job does so again when half a second old. After a silence of all agents or all callers of over 680 ms, for as long as it lasted and 680 ms more, new jobs wait 10 ms for an end that is still under way: TCP doubles its pause, so what an outage held arrives no later. Without an outage nothing waits. No message changes, so builds of before work beside this one.

Tried first: 10 ms for each request that the last answer on its connection doesn't show to be young.

--- a/crates/dispatch/src/agents.rs
+++ b/crates/dispatch/src/agents.rs
@@ -10,7 +10,7 @@
 use wire::{Hello, egret_capnp::worker};
 
 use crate::{
-    AgentReport, BacklogReport, ConfinedQueue, Confinement, CrashSite, DrainReport, Job,
+    AgentReport, BacklogReport, ConfinedQueue, Confinement, Contact, CrashSite, DrainReport, Job,
     agent::Agent, backlog::Backlog,
 };
 
@@ -30,6 +30,8 @@
     known: RefCell<BTreeMap<Name, Rc<Agent>>>,
     drains: Arc<CurrentDrains>,
     confinement: RefCell<Confinement>,
+    /// contact with all of them
+    pub contact: Contact,
     /// jobs that wait for free capacity
     pub backlog: Rc<Backlog>,
 }
@@ -48,6 +50,7 @@
             known: RefCell::default(),
             drains,
             confinement: RefCell::default(),
+            contact: Contact::new(heartbeat_timeout, uptime()),
             backlog: Rc::default(),
         })
     }
@@ -60,6 +63,7 @@
     /// Handles a heartbeat; `worker` is set in the first one over a link. Gives
     /// whether the agent is surplus.
     pub fn on_heartbeat(&self, hello: &Hello, worker: Option<worker::Client>) -> bool {
+        self.contact.record(uptime());
         self.update(hello, worker);
         let Some(agent) = self.get(&hello.name) else { return false };
         if let Some(crash) = hello.crash.as_ref().filter(|crash| agent.note_crash(crash.number)) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use placement::{ObjectiveSettings, Placer, PlacerSettings, RackDemand};
 
 use crate::{
-    Agents, CrashHistory, Job, JobAnswer, JobKey, JobReport, Metrics, RackReport,
+    Agents, Contact, CrashHistory, Job, JobAnswer, JobKey, JobReport, Metrics, RackReport,
     agent_client::AgentClient, cancel::CancelSignal, execution::JobExecution,
     name_claims::NameClaims,
 };
@@ -45,6 +45,8 @@
     placer: RefCell<Placer>,
     racks: RefCell<RackDemand>,
     crashes: RefCell<CrashHistory>,
+    /// contact with all callers
+    callers: Contact,
     started_at: Uptime,
     last_batch: Cell<u64>,
     /// deadline for all answers, once this entry stops
@@ -69,6 +71,7 @@
         agents: Rc<Agents>,
         metrics: Arc<Metrics>,
     ) -> Rc<Self> {
+        let callers = Contact::new(settings.timings.report_timeout(), uptime());
         let client = AgentClient { agents, timings: settings.timings, session: settings.session };
         let placer = Placer::new(settings.placer.clone(), settings.session.0);
         Rc::new(Self {
@@ -78,6 +81,7 @@
             placer: RefCell::new(placer),
             racks: RefCell::default(),
             crashes: RefCell::default(),
+            callers,
             started_at: uptime(),
             last_batch: Cell::new(0),
             deadline: Cell::new(None),
@@ -98,6 +102,7 @@
     /// same answer; a job that nobody waits for any more is stopped.
     pub async fn submit(self: &Rc<Self>, job: Job) -> JobAnswer {
         let key = job.key();
+        self.callers.record(uptime());
         if let Some(answer) = self.join_or_start(job) {
             return answer.await;
         }
@@ -245,6 +250,17 @@
         self.settings.far_factor
     }
 
+    /// Whether a job read now may have been sent long ago.
+    pub(crate) fn may_jobs_be_late(&self) -> bool {
+        let now = uptime();
+        self.callers.may_be_late(now) || self.agents().contact.may_be_late(now)
+    }
+
+    /// Longest time without a look at a caller's connection before tasks are sent.
+    pub(crate) fn check_interval(&self) -> Duration {
+        self.settings.timings.session_ttl
+    }
+
     /// Time since this entry started.
     pub(crate) fn age(&self) -> Duration {
         uptime().saturating_sub(self.started_at)
--- a/crates/dispatch/src/execution.rs
+++ b/crates/dispatch/src/execution.rs
@@ -27,6 +27,9 @@
 /// Part of the caller's time that is reserved for the transfer of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
+/// Time that the end of a connection may arrive after the last request on it.
+const DISCONNECT_DELAY: Duration = Duration::from_millis(10);
+
 /// One of so many agents runs tasks again that may have crashed their backend server.
 const RETRY_DIVISOR: usize = 8;
 
@@ -55,6 +58,8 @@
     job: Job,
     objective: Objective,
     arrived_at: Uptime,
+    /// when the caller's connection was last known to be open
+    seen_at: Option<Uptime>,
     tasks: Vec<Task>,
     /// failed runs of each task
     failures: Vec<u32>,
@@ -103,6 +108,7 @@
             key: job.key(),
             objective,
             arrived_at: uptime(),
+            seen_at: None,
             tasks: vec![Task::Unplaced(1); count],
             failures: vec![0; count],
             avoided: Vec::new(),
@@ -170,6 +176,10 @@
             if self.has_no_retry_agent() {
                 return self.abandon(MAY_CRASH_SERVERS);
             }
+            if self.may_have_lost_caller() {
+                self.check_caller().await;
+                continue;
+            }
             let unplaced = self.place(&mut calls);
             if unplaced == 0 {
                 self.ticket = None;
@@ -208,6 +218,26 @@
         }
     }
 
+    /// Whether tasks are about to be sent whose caller may have disconnected, and sent the
+    /// job to another entry.
+    fn may_have_lost_caller(&self) -> bool {
+        let interval = self.dispatcher.check_interval();
+        self.seen_at.is_none_or(|at| uptime().saturating_sub(at) > interval)
+            && self.tasks.iter().any(|t| matches!(t, Task::Unplaced(_)))
+    }
+
+    /// Lets the server notice that the caller has disconnected, which drops this job.
+    async fn check_caller(&mut self) {
+        if self.seen_at.is_none() && self.dispatcher.may_jobs_be_late() {
+            sleep(DISCONNECT_DELAY).await;
+        }
+        let now = uptime();
+        // the server reads a connection before it polls the handler, and drops the handler of
+        // one that has ended after that: such a handler doesn't get to its next turn
+        let _ = actix::spawn(async {}).await;
+        self.seen_at = Some(now);
+    }
+
     /// Waits while a job with the same id of another queue may have runs on this service:
     /// backend servers know tasks by the id of their job.
     async fn claim_name(&mut self) -> Result<(), JobAnswer> {
@@ -679,6 +709,7 @@
                 ("job", (&*self.job.id).into()),
                 ("queue", (&*self.job.queue).into()),
                 ("age_ms", (self.age().as_millis() as u64).into()),
+                ("batches", (self.placed.len() as u64).into()),
             ]);
             self.dispatcher.metrics().record_answer(&self.job.queue, "caller-left", self.age());
         }
