dispatch: a pause in the traffic counts as an outage of 30 s at most

What an outage of over 30 s holds may arrive later than the limit; TCP itself gives up connections without an owner after about 100 s.

Test: contact a_pause_of_an_hour_counts_as_one_of_half_a_minute, which fails without the limit (the window would end at 7,201 s).

--- a/crates/dispatch/src/contact.rs
+++ b/crates/dispatch/src/contact.rs
@@ -2,6 +2,9 @@
 
 use base::Uptime;
 
+/// Bound on how late messages count as, as a pause in the traffic looks like an outage.
+const MAX_LATENESS: Duration = Duration::from_secs(30);
+
 /// Contact with a group of peers, which tells when messages may have been under way for
 /// long: after a silence of the whole group this process was suspended, or its links were
 /// cut.
@@ -25,7 +28,7 @@
     pub fn record(&self, now: Uptime) {
         let silence = now.saturating_sub(self.heard_at.replace(now));
         if silence > self.max_silence {
-            let until = now + silence + self.max_silence;
+            let until = now + silence.min(MAX_LATENESS) + self.max_silence;
             self.late_until.set(until.max(self.late_until.get()));
         }
     }
--- a/crates/dispatch/tests/contact.rs
+++ b/crates/dispatch/tests/contact.rs
@@ -42,6 +42,9 @@
         steady(1000, 1000).chain(steady(3000, 5400)), at 5600 => true;
     messages_are_in_time_after_that:
         steady(1000, 1000).chain(steady(3000, 5400)), at 5800 => false;
+    /// After an hour without callers each call of the next hour waited.
+    a_pause_of_an_hour_counts_as_one_of_half_a_minute:
+        [1000].into_iter().chain(steady(3_601_000, 3_632_000)), at 3_632_000 => false;
     /// The end of one cut must not be forgotten in the next one, which is shorter.
     a_shorter_silence_does_not_end_a_longer_one:
         [1000, 9000].into_iter().chain(steady(9800, 17_000)), at 17_100 => true;
