--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -29,7 +29,7 @@
     pub record: Arc<Record>,
     pub executors: Vec<Arc<Executor>>,
     pub entries: Vec<Entry>,
-    agents: Vec<Child>,
+    agents: Vec<Agent>,
     dir: PathBuf,
 }
 
@@ -39,6 +39,11 @@
     process: Child,
 }
 
+struct Agent {
+    settings: PathBuf,
+    process: Child,
+}
+
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("an address")
@@ -110,7 +115,7 @@
 
     fn add_agent(&mut self, i: usize, slots: usize, list: &str) -> Result<(), String> {
         let name = format!("{i}");
-        let executor = Executor::start(&name, slots, self.record.clone());
+        let executor = Executor::start(&name, slots, self.record.clone(), i as u64);
         let (http, metrics) = (free_address(), free_address());
         let text = format!(
             concat!(
@@ -125,7 +130,7 @@
         let process = self.start_program(AGENT, &name, &settings)?;
         executor.beat(http);
         self.executors.push(executor);
-        self.agents.push(process);
+        self.agents.push(Agent { settings, process });
         Ok(())
     }
 
@@ -167,6 +172,22 @@
         Ok(())
     }
 
+    /// Kills an agent.
+    pub fn kill_agent(&mut self, i: usize) -> Result<(), String> {
+        let process = &mut self.agents[i].process;
+        process.kill().and_then(|()| process.wait()).map_err(|e| e.to_string())?;
+        self.record.note(format!("agent {i} is killed"));
+        Ok(())
+    }
+
+    /// Starts an agent that was killed.
+    pub fn start_agent(&mut self, i: usize) -> Result<(), String> {
+        let settings = self.agents[i].settings.clone();
+        self.agents[i].process = self.start_program(AGENT, &format!("agent-{i}"), &settings)?;
+        self.record.note(format!("agent {i} is started"));
+        Ok(())
+    }
+
     /// Calls an entry as a client, and records the call and its answer.
     pub fn call(
         record: &Record,
@@ -190,7 +211,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         let entries = self.entries.iter_mut().map(|e| &mut e.process);
-        for process in entries.chain(self.agents.iter_mut()) {
+        for process in entries.chain(self.agents.iter_mut().map(|a| &mut a.process)) {
             // it may have ended
             let _ = process.kill();
             let _ = process.wait();
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -12,17 +12,18 @@
 pub const UNREADABLE: &str = "<unreadable>";
 
 /// One request as read from a connection.
+#[derive(Clone)]
 pub struct Request {
     /// path with the query
     pub target: String,
     pub body: String,
 }
 
+/// Status and body of an answer; with `None` the connection is closed.
+pub type Answer = Option<(u16, String)>;
+
 /// Serves connections in threads of their own.
-pub fn serve(
-    listener: TcpListener,
-    handler: impl Fn(Request) -> (u16, String) + Send + Sync + 'static,
-) {
+pub fn serve(listener: TcpListener, handler: impl Fn(Request) -> Answer + Send + Sync + 'static) {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -32,12 +33,12 @@
     });
 }
 
-fn serve_connection(stream: TcpStream, handler: &dyn Fn(Request) -> (u16, String)) {
+fn serve_connection(stream: TcpStream, handler: &dyn Fn(Request) -> Answer) {
     let _ = stream.set_nodelay(true);
     let Ok(mut out) = stream.try_clone() else { return };
     let mut input = BufReader::new(stream);
     while let Some(request) = read_request(&mut input) {
-        let (status, body) = handler(request);
+        let Some((status, body)) = handler(request) else { return };
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
             encode(&body).len()
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -5,7 +5,9 @@
 mod executor;
 mod fleet;
 mod http;
+mod lives;
 mod odd;
+mod orphans;
 mod record;
 mod store;
 
@@ -24,6 +26,8 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |v| v != "0");
     let outcome: Outcome = match case.as_str() {
+        "next-life" => lives::run(trouble),
+        "orphans" => orphans::run(trouble),
         "odd-row" => odd::row(trouble),
         "odd-end" => odd::end(trouble),
         "odd-run" => odd::run(trouble),
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -28,7 +28,7 @@
         let address = listener.local_addr().expect("an address");
         let store = Arc::new(Self { address, state: Mutex::default(), changed: Condvar::new() });
         let served = store.clone();
-        http::serve(listener, move |request| served.handle(&request));
+        http::serve(listener, move |request| Some(served.handle(&request)));
         store
     }
 
