lease: no lease outlives the runs of a lost entry for other entries

Callers: an entry is killed or cut off from an agent; its caller sends the job to another entry after 1.3 s, and the first runs still go on.

Cause: the agent stops the runs of a session that has expired, and repeats the stops; but it renewed the one lease of its backend server for other entries for as long as that took. Entries count on run_expiry.

Failed before, too: no_lease_outlives_the_runs_of_a_lost_entry_for_another and, with the real programs and a stand-in that ignores stops, stops::runs_of_a_killed_entry_end_though_their_stops_have_no_effect.

Fix: a lease ends at most session_ttl + lease_ttl after the entry of any active run was last known to be alive, the bound that run_expiry is made of, so runs end in time whether their stops are confirmed or not. If they are, nothing changes. E0838 shows that no lease is given for that reason.

No message, key or stored form changes.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -101,6 +101,7 @@
     ListingUnreadable = 835 Warn "elements of the backend server's listings can't be read"
     LeaseWithheld = 836 Warn "no lease is given: the backend server runs what this process didn't order"
     LeaseResumed = 837 Info "leases are given again: the backend server runs nothing else"
+    LeaseCapped = 838 Warn "no lease is given: runs of a lost entry may go on"
 }
 
 impl Event {
--- a/crates/lease/src/run.rs
+++ b/crates/lease/src/run.rs
@@ -18,6 +18,8 @@
     pub progress: ProgressTracker,
     /// known to have started on the backend server
     pub has_run: bool,
+    /// end of its entry's session, if that has expired since its start was ordered
+    pub session_end: Option<Uptime>,
     /// the crash of the backend server, once that has crashed
     pub crash: Option<Crash>,
 }
--- a/crates/lease/src/scheduler.rs
+++ b/crates/lease/src/scheduler.rs
@@ -92,6 +92,8 @@
     leased_until: Uptime,
     /// ends of leases whose calls are in progress
     pending_leases: Vec<Uptime>,
+    /// no lease is given because of runs of a lost entry
+    is_capped: bool,
     /// listings that failed in a row
     failed_listings: u32,
     /// when the first of them failed
@@ -143,6 +145,7 @@
             health: Health::default(),
             leased_until: Uptime::ZERO,
             pending_leases: Vec::new(),
+            is_capped: false,
             failed_listings: 0,
             silent_since: None,
             is_gone: false,
--- a/crates/lease/src/scheduler/leases.rs
+++ b/crates/lease/src/scheduler/leases.rs
@@ -5,7 +5,9 @@
 //! A backend server has one lease for all that it runs. An entry that lost contact with an
 //! agent counts on the last lease that this process of it may have given: each process
 //! therefore gives leases only while the backend server runs nothing that another one
-//! ordered. Once a listing shows that, it stays so for this life of the backend server: the
+//! ordered. Likewise, no lease outlives the runs of an entry whose session has expired by more
+//! than a lease that was given just before: their tasks may then run elsewhere, whatever
+//! other entries run here. Once a listing shows that, it stays so for this life of the backend server: the
 //! call that returned the listing carried a fencing token, which voids the orders of before.
 
 use std::time::Duration;
@@ -21,14 +23,15 @@
 
 impl Scheduler {
     /// Renews the lease of the backend server; gives its end, or `None` if it has to
-    /// expire: no session is live, or there may be orphan runs.
+    /// expire: no session is live, there may be orphan runs, or runs of a lost entry
+    /// aren't known to have stopped.
     pub fn renew_lease(&mut self, now: Uptime) -> Option<Uptime> {
         self.expire_sessions(now);
         if self.may_have_orphans() {
             return None;
         }
         let last_seen = self.sessions.values().map(|s| s.last_seen).max()?;
-        Some(self.extend_lease(last_seen, now))
+        self.extend_lease(last_seen, now)
     }
 
     /// Renews the lease for a run about to be ordered; `None` when it must no
@@ -41,7 +44,7 @@
         }
         let run = self.runs.get(key).filter(|r| r.state == State::Starting)?;
         let last_seen = self.sessions.get(&self.session_of(run)?)?.last_seen;
-        Some(self.extend_lease(last_seen, now))
+        self.extend_lease(last_seen, now)
     }
 
     /// Handles the outcome of the call with a lease that ends at `end`. Until then, the
@@ -54,15 +57,32 @@
         }
     }
 
-    /// Extends the lease for entries last seen at `last_seen`; gives its end.
-    fn extend_lease(&mut self, last_seen: Uptime, now: Uptime) -> Uptime {
+    /// Extends the lease for entries last seen at `last_seen`; gives its end, or `None`
+    /// if it must not be extended any more.
+    fn extend_lease(&mut self, last_seen: Uptime, now: Uptime) -> Option<Uptime> {
         let LeaseTimings { session_ttl, lease_ttl, .. } = self.settings.timings;
-        let lease_end = (last_seen + session_ttl).min(now + lease_ttl);
+        let lost = self.lost_session_end();
+        let is_capped = lost.is_some_and(|end| end + lease_ttl <= now);
+        if is_capped && !self.is_capped {
+            let runs = self.runs.values().filter(|r| r.session_end.is_some()).count();
+            Event::LeaseCapped.note(&[("runs", (runs as u64).into())]);
+        }
+        self.is_capped = is_capped;
+        if is_capped {
+            return None;
+        }
+        let latest = lost.map_or(Uptime::MAX, |end| end + lease_ttl);
+        let lease_end = (last_seen + session_ttl).min(now + lease_ttl).min(latest);
         // those without an outcome by their end count as given
         let ended = self.pending_leases.extract_if(.., |end| *end < now);
         self.leased_until = ended.fold(self.leased_until, Uptime::max);
         self.pending_leases.push(lease_end);
-        lease_end
+        Some(lease_end)
+    }
+
+    /// The first end of a session whose runs may go on although it has expired.
+    fn lost_session_end(&self) -> Option<Uptime> {
+        self.runs.values().filter_map(|r| r.session_end).min()
     }
 
     /// Ends all active runs once the lease has expired, whether the backend server
--- a/crates/lease/src/scheduler/sessions.rs
+++ b/crates/lease/src/scheduler/sessions.rs
@@ -78,6 +78,9 @@
                 ("runs", (runs.len() as u64).into()),
             ]);
             for key in runs {
+                if let Some(run) = self.runs.get_mut(key).filter(|r| r.is_active()) {
+                    run.session_end.get_or_insert(session.last_seen + ttl);
+                }
                 self.stop_run(key, StopReason::SessionExpired, now);
             }
         }
--- a/crates/lease/src/scheduler/starts.rs
+++ b/crates/lease/src/scheduler/starts.rs
@@ -188,6 +188,7 @@
             ordered_at: now,
             progress: ProgressTracker::default(),
             has_run: false,
+            session_end: None,
             crash: None,
         });
         self.run_by_task.insert(task_ref, key);
--- a/crates/lease/tests/scheduler.rs
+++ b/crates/lease/tests/scheduler.rs
@@ -581,6 +581,29 @@
         s.restart(2);
         assert!(s.scheduler.renew_lease(now).is_some());
     };
+    // its task may run elsewhere, and the stop may get no answer
+    no_lease_outlives_the_runs_of_a_lost_entry_for_another: |mut s| {
+        let key = s.place(1, 1, 300);
+        let orders = s.starts();
+        s.accept_all(&orders);
+        s.disconnect();
+        let LeaseTimings { session_ttl, lease_ttl, .. } = s.timings;
+        let last = Scene::ms(0) + session_ttl + lease_ttl;
+        for ms in (0..1150).step_by(50) {
+            s.advance_to(ms);
+            let now = s.now;
+            s.scheduler.extend_session(SessionId(2), &"other".into(), now, now);
+            let lease = s.scheduler.renew_lease(now);
+            assert!(lease.is_none_or(|end| end <= last), "at {ms} ms: {lease:?}");
+            assert_eq!(lease.is_some(), now < last, "at {ms} ms");
+            s.list_progress(&orders[0], 10);
+        }
+        s.advance_to(1200);
+        let now = s.now;
+        s.scheduler.extend_session(SessionId(2), &"other".into(), now, now);
+        assert_eq!(s.endings(key), [Ending::Lost], "the lease has expired");
+        assert!(s.scheduler.renew_lease(now).is_some());
+    };
     the_stop_of_an_orphan_run_is_ordered_until_it_is_confirmed: |mut s| {
         s.begin_process();
         s.list(&[Scene::orphan()]);
--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -33,6 +33,11 @@
 const RESTART_MS: Range<u64> = 20..500;
 /// Share of the calls to a backend server that are lost while calls are lost.
 const LOSS_SHARES: Range<f64> = 0.4..1.0;
+/// Share of the orders where only they are lost: a run outlives its entry only if all of
+/// the many stops are.
+const ORDER_LOSS_SHARES: Range<f64> = 0.9..1.0;
+/// Session of an entry that is always connected to all agents, and has no tasks.
+const BYSTANDER: SessionId = SessionId(u64::MAX);
 /// Schedules tried for each rule that is left out.
 const MUTANT_SEEDS: u64 = 3000;
 
@@ -56,6 +61,8 @@
     Delivery,
     /// the process that replaces a killed agent takes no notice of the runs of before
     OrphanCheck,
+    /// leases are renewed while runs of a lost entry go on
+    LeaseCap,
 }
 
 /// How a backend server that goes on running is out of reach.
@@ -254,6 +261,8 @@
     outage_rng: Option<StdRng>,
     /// draws the kills of agents and the times in which calls are lost, likewise
     kill_rng: Option<StdRng>,
+    /// another entry keeps the leases of all agents alive
+    has_bystander: bool,
     /// a start was sent in a drained data centre
     started_drained: bool,
 }
@@ -292,6 +301,7 @@
             drain_rng: None,
             outage_rng: None,
             kill_rng: None,
+            has_bystander: false,
             started_drained: false,
         }
     }
@@ -312,6 +322,11 @@
         Self { kill_rng: Some(StdRng::seed_from_u64(!seed)), ..Self::new(seed, without) }
     }
 
+    /// The same, with another entry that no fault affects.
+    fn with_bystander(seed: u64, without: Without) -> Self {
+        Self { has_bystander: true, ..Self::with_kills(seed, without) }
+    }
+
     /// Whether no task ever ran twice at a time, and none was started in a drained
     /// data centre.
     fn holds(mut self) -> bool {
@@ -374,9 +389,12 @@
         let Some(rng) = &mut self.kill_rng else { return };
         let lossy = rng.random_range(0..AGENTS);
         if rng.random_range(0..100) == 0 {
-            let losses = Losses {
-                orders: rng.random_range(LOSS_SHARES),
-                renewals: rng.random_range(0.0..LOSS_SHARES.start),
+            let losses = match self.has_bystander {
+                true => Losses { orders: rng.random_range(ORDER_LOSS_SHARES), renewals: 0.0 },
+                false => Losses {
+                    orders: rng.random_range(LOSS_SHARES),
+                    renewals: rng.random_range(0.0..LOSS_SHARES.start),
+                },
             };
             let span = Duration::from_millis(rng.random_range(500..4000));
             self.agents[lossy].losses = Some((losses, self.now + span));
@@ -436,6 +454,9 @@
                 self.entry.last_contact[i] = now;
             }
         }
+        if self.has_bystander {
+            self.agents[i].scheduler.extend_session(BYSTANDER, &"other".into(), now, now);
+        }
         let unanswered = self.unanswered();
         let is_lost = self.draws_loss(i, |losses| losses.renewals);
         let without = self.without;
@@ -443,7 +464,10 @@
         agent.scheduler.tick(now);
         if agent.last_listing + LISTING_INTERVAL <= now {
             agent.last_listing = now;
-            let lease = agent.scheduler.renew_lease(now);
+            let lease = match without {
+                Without::LeaseCap => Some(now + self.timings.lease_ttl),
+                _ => agent.scheduler.renew_lease(now),
+            };
             let outage = agent.outage(now);
             let is_answered = self.rng.random_bool(0.9) && outage.is_none() && !is_lost;
             if outage != Some(Outage::Refused) && !is_lost {
@@ -756,6 +780,15 @@
     }
 }
 
+// entries are killed or cut off while orders to stop their runs are lost: the lease was
+// renewed for the other entry
+#[test]
+fn no_task_runs_twice_at_a_time_while_another_entry_keeps_leases_alive() {
+    for seed in 0..seeds(400) {
+        assert!(World::with_bystander(seed, Without::Nothing).holds(), "seed {seed}");
+    }
+}
+
 macro_rules! needed {
     ($($name:ident: $rule:ident;)*) => {
         $(#[test] fn $name() {
@@ -763,6 +796,7 @@
                 Without::Drain => World::with_drains,
                 Without::Delivery => World::with_outages,
                 Without::OrphanCheck => World::with_kills,
+                Without::LeaseCap => World::with_bystander,
                 _ => World::new,
             };
             let broken = (0..MUTANT_SEEDS).find(|s| !world(*s, Without::$rule).holds());
@@ -780,6 +814,7 @@
     the_drain_of_an_agent_is_needed: Drain;
     the_doubt_about_an_unanswered_renewal_is_needed: Delivery;
     the_check_for_orphan_runs_is_needed: OrphanCheck;
+    the_cap_on_leases_is_needed: LeaseCap;
 }
 
 /// Number of schedules to try, unless set by `EGRET_SEEDS`.
