runner: an end that can't be read causes no busy loop of listings

Callers: slow or late answers, as the agent spends its processor time on listings.

Fix: while the newest listing has an end that can't be read, the next is requested 20 ms after it.

--- a/crates/runner/src/backend.rs
+++ b/crates/runner/src/backend.rs
@@ -52,6 +52,8 @@
     /// the backend server's clock
     pub clock: Duration,
     pub listing: Listing,
+    /// ends that can't be read are left out; they stay listed, so no answer waits for others
+    pub has_odd_ends: bool,
 }
 
 /// Description that a backend server announces of itself.
--- a/crates/runner/src/driver.rs
+++ b/crates/runner/src/driver.rs
@@ -32,6 +32,8 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after a failed listing, since the next one may fail immediately too.
 const LISTING_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between listings that return at once because of an end that can't be read.
+const ODD_LISTING_INTERVAL: Duration = Duration::from_millis(20);
 /// How far a fencing token is raised above a refused one: more than the clocks
 /// of two incarnations of an agent may differ.
 const FENCE_STEP_MS: u64 = 20_000;
@@ -68,6 +70,8 @@
     centre: Cell<CentreState>,
     /// when the announced backend server gave notice that it leaves
     left_at: Cell<Option<Uptime>>,
+    /// whether the newest listing had ends that can't be read
+    has_odd_ends: Cell<bool>,
     /// whether a listing is pending beside the polled one
     listing_requested: Cell<bool>,
     answer_timeout: Cell<AdaptiveTimeout>,
@@ -99,6 +103,7 @@
             listed_life: Cell::default(),
             centre: Cell::default(),
             left_at: Cell::default(),
+            has_odd_ends: Cell::default(),
             listing_requested: Cell::new(false),
             answer_timeout: Cell::default(),
             was_ready: Cell::default(),
@@ -436,6 +441,8 @@
         loop {
             if !self.renew_lease(self.listing_wait()).await {
                 sleep(LISTING_RETRY_INTERVAL).await;
+            } else if self.has_odd_ends.get() {
+                sleep(ODD_LISTING_INTERVAL).await;
             }
         }
     }
@@ -483,6 +490,7 @@
                 // a listing requested before the newest one is outdated
                 if requested_at >= self.newest_listing.get() {
                     self.newest_listing.set(requested_at);
+                    self.has_odd_ends.set(reply.has_odd_ends);
                     self.record_clock(reply.clock);
                     let listing = lease::Listing { requested_at, ..reply.listing };
                     self.with_scheduler(|scheduler, now| scheduler.on_listing(&listing, now));
--- a/crates/runner/tests/drain.rs
+++ b/crates/runner/tests/drain.rs
@@ -54,7 +54,7 @@
             sleep(renewal.wait).await;
             let listing =
                 Listing { requested_at: uptime(), started_ms: 1, running: vec![], ended: vec![] };
-            Ok(RenewalReply { clock: uptime(), listing })
+            Ok(RenewalReply { clock: uptime(), listing, has_odd_ends: false })
         }
         .boxed_local()
     }
--- a/crates/runner/tests/driver.rs
+++ b/crates/runner/tests/driver.rs
@@ -103,7 +103,7 @@
         let (running, ended) = (self.running.borrow().clone(), self.ended.borrow().clone());
         let started_ms = self.life.get();
         let listing = Listing { started_ms, running, ended, ..Listing::default() };
-        Ok(RenewalReply { clock: uptime(), listing })
+        Ok(RenewalReply { clock: uptime(), listing, has_odd_ends: false })
     }
 }
 
