platform, platform_client: bytes that can't be read hide no other element

Cause: the elements of a list are decoded one by one, but the parser refuses the whole text if it has bytes that are no UTF-8, or a control character, anywhere.

Fix: such bytes are replaced by a noncharacter before the text is parsed, and the element that has them is left out (E0202, E0835).

--- a/crates/platform_client/src/http.rs
+++ b/crates/platform_client/src/http.rs
@@ -5,7 +5,9 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use serde::Deserialize;
 
-use crate::{Elements, Error, KeyedRow, ObjectStore, Result, Row, Table, Version};
+use crate::{
+    Elements, Error, KeyedRow, ObjectStore, Result, Row, Table, Version, elements::readable_text,
+};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -37,7 +39,8 @@
         let mut res = self.client.get(url).send().await.map_err(unavailable)?;
         match res.status() {
             StatusCode::OK => {
-                let text = read_text(&mut res).await?;
+                let body = read_body(&mut res).await?;
+                let text = readable_text(&body);
                 let rows = parse::<Elements<'_>>(&text)?;
                 Ok(rows.decode(|reason| Event::RowUnreadable.note(&[("why", (&*reason).into())])))
             }
@@ -124,7 +127,14 @@
 where
     S: futures::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
 {
-    let body = res.body().limit(MAX_BODY_BYTES).await;
-    let body = body.map_err(|e| Error::Unavailable(e.to_string()))?;
+    let body = read_body(res).await?;
     String::from_utf8(body.to_vec()).map_err(|e| Error::Malformed(e.to_string()))
 }
+
+async fn read_body<S>(res: &mut ClientResponse<S>) -> Result<bytes::Bytes>
+where
+    S: futures::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let body = res.body().limit(MAX_BODY_BYTES).await;
+    body.map_err(|e| Error::Unavailable(e.to_string()))
+}
--- a/crates/platform_client/src/lib.rs
+++ b/crates/platform_client/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use availability::Availability;
 pub use commit::{RowWrite, commit};
-pub use elements::Elements;
+pub use elements::{Elements, readable_text};
 pub use http::HttpPlatform;
 
 /// Failure of a call to the platform.
--- a/crates/platform_client/tests/http.rs
+++ b/crates/platform_client/tests/http.rs
@@ -22,18 +22,25 @@
         "1e400".to_owned(),
         deep.clone(),
     ];
-    for odd in odd {
-        let url = answer_once(format!("[{},{odd},{}]", good("a"), good("b")));
+    let unreadable = [
+        b"{\"key\":\"x\",\"version\":1,\"value\":\"\xff\xfe\"}",
+        b"{\"key\":\"x\",\"version\":1,\"value\":\"\x01\x1f\"}",
+    ];
+    let odd = odd.into_iter().map(String::into_bytes);
+    for odd in odd.chain(unreadable.map(|text| text.to_vec())) {
+        let comma = &b","[..];
+        let list = [good("a").as_bytes(), &odd, good("b").as_bytes()].join(comma);
+        let url = answer_once([b"[", &*list, b"]"].concat());
         let rows = actix::System::new()
             .block_on(async { HttpPlatform::new(&url).list("").await })
             .expect("the others are read");
         let keys: Vec<_> = rows.iter().map(|r| &*r.key).collect();
-        assert_eq!(keys, ["a", "b"], "beside {odd:.60}");
+        assert_eq!(keys, ["a", "b"], "beside {:.60}", odd.escape_ascii());
     }
 }
 
 /// URL of a server that answers one request with this body.
-fn answer_once(body: String) -> String {
+fn answer_once(body: Vec<u8>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     thread::spawn(move || {
@@ -43,7 +50,7 @@
         assert!(read > 0);
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
         stream.write_all(head.as_bytes()).expect("the client reads");
-        stream.write_all(body.as_bytes()).expect("the client reads");
+        stream.write_all(&body).expect("the client reads");
     });
     format!("http://{address}")
 }
