--- a/crates/lease/src/life.rs
+++ b/crates/lease/src/life.rs
@@ -15,7 +15,7 @@
     pub announced: Option<Announced>,
     /// it gave notice that it exits
     pub has_left: bool,
-    /// whether this process of the agent has seen a listing
+    /// whether a listing of it was processed
     pub is_listed: bool,
     /// orphan runs in the newest listing
     pub orphans: Vec<Orphan>,
--- a/crates/lease/src/scheduler/leases.rs
+++ b/crates/lease/src/scheduler/leases.rs
@@ -2,13 +2,15 @@
 //! certainly ended. It answers backend servers that are silent, and agents that were suspended
 //! or replaced.
 //!
-//! A backend server has one lease for all that it runs. An entry that lost contact with an
-//! agent counts on the last lease that this process of it may have given: each process
-//! therefore gives leases only while the backend server runs nothing that another one
-//! ordered. Likewise, no lease outlives the runs of an entry whose session has expired by more
-//! than a lease that was given just before: their tasks may then run elsewhere, whatever
-//! other entries run here. Once a listing shows that, it stays so for this life of the backend server: the
-//! call that returned the listing carried a fencing token, which voids the orders of before.
+//! A backend server has one lease for all that it runs, and an entry that lost contact with
+//! an agent places its tasks elsewhere once the last lease that may have been given for them has
+//! expired. So nobody may renew it for these runs afterwards:
+//!
+//! - A process gives leases only while the backend server runs nothing that an earlier process
+//!   ordered. Once a listing shows that, it stays so for this life of the backend server: the
+//!   call that returned the listing carried a fencing token, which voids the orders of before.
+//! - While runs of an entry whose session has expired may go on, no lease ends later than one
+//!   given at the end of that session, whatever other entries run here.
 
 use std::time::Duration;
 
