lease: one macro names the random worlds that must hold

Four tests of the random model were the same loop over another world, two of them added with the leases of killed agents. A macro names each case, as the other tests of this file have it. Names, worlds, seeds and the assertion are unchanged.

--- a/crates/lease/tests/world.rs
+++ b/crates/lease/tests/world.rs
@@ -756,37 +756,26 @@
     }
 }
 
-// drains begin and end between an order and its sending, and during every fault
-#[test]
-fn no_start_is_ordered_in_a_drained_data_centre() {
-    for seed in 0..seeds(400) {
-        assert!(World::with_drains(seed, Without::Nothing).holds(), "seed {seed}");
-    }
-}
-
-#[test]
-fn no_task_runs_twice_at_a_time_while_backend_servers_are_out_of_reach() {
-    for seed in 0..seeds(400) {
-        assert!(World::with_outages(seed, Without::Nothing).holds(), "seed {seed}");
-    }
-}
-
-// review/13: the lease of a backend server was renewed for runs of a killed agent, whose tasks
-// already ran elsewhere
-#[test]
-fn no_task_runs_twice_at_a_time_while_agents_are_replaced() {
-    for seed in 0..seeds(400) {
-        assert!(World::with_kills(seed, Without::Nothing).holds(), "seed {seed}");
-    }
+macro_rules! seeded {
+    ($($name:ident: $world:ident;)*) => {
+        $(#[test] fn $name() {
+            for seed in 0..seeds(400) {
+                assert!(World::$world(seed, Without::Nothing).holds(), "seed {seed}");
+            }
+        })*
+    };
 }
 
-// entries are killed or cut off while orders to stop their runs are lost: the lease was
-// renewed for the other entry
-#[test]
-fn no_task_runs_twice_at_a_time_while_another_entry_keeps_leases_alive() {
-    for seed in 0..seeds(400) {
-        assert!(World::with_bystander(seed, Without::Nothing).holds(), "seed {seed}");
-    }
+seeded! {
+    // drains begin and end between an order and its sending, and during every fault
+    no_start_is_ordered_in_a_drained_data_centre: with_drains;
+    no_task_runs_twice_at_a_time_while_backend_servers_are_out_of_reach: with_outages;
+    // review/13: the lease of a backend server was renewed for runs of a killed agent, whose
+    // tasks already ran elsewhere
+    no_task_runs_twice_at_a_time_while_agents_are_replaced: with_kills;
+    // entries are killed or cut off while orders to stop their runs are lost: the lease was
+    // renewed for the other entry
+    no_task_runs_twice_at_a_time_while_another_entry_keeps_leases_alive: with_bystander;
 }
 
 macro_rules! needed {
